Serve a query across entry, brokers and searchers in separate processes

Cause: nothing existed yet; the whole path has to stand before its parts are proved. Change: a decision library (config, broker, entry, membership, claims), transports (Cap'n Proto RPC between daemons, libcurl to upstreams and the store, RESTinio to callers), the daemon and two stand-ins. Before: no program. Known faults: a stop while the platform is down waits for the whole grace, and the daemon aborts at exit.

--- /dev/null
+++ b/daemon/http_server.hpp
@@ -0,0 +1,41 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "eelgrassledge/core/result_code.hpp"
+#include "eelgrassledge/runtime/application.hpp"
+
+namespace eelgrassledge {
+
+/// Limits of the HTTP interface.
+struct http_limits {
+    std::size_t max_body_bytes = 65536;
+    std::size_t max_header_bytes = 8192;
+    std::size_t max_connections = 2000;
+    std::size_t threads = 2;
+};
+
+/// HTTP/1.1 server that hands requests to a handler on its threads.
+class http_server {
+  public:
+    using handler = std::function<void(const api_request&, application::respond)>;
+
+    http_server(handler on_request, http_limits limits);
+    ~http_server();
+    http_server(const http_server&) = delete;
+    auto operator=(const http_server&) -> http_server& = delete;
+
+    /// Starts to listen. Errors: `cannot_listen`.
+    [[nodiscard]] auto start(const std::string& address) -> result<bool>;
+
+    /// Closes the listening socket and all connections, and ends the threads.
+    auto stop() -> void;
+
+  private:
+    struct implementation;
+    std::unique_ptr<implementation> impl_;
+};
+
+}  // namespace eelgrassledge
--- /dev/null
+++ b/daemon/json_log.cpp
@@ -0,0 +1,59 @@
+#include "json_log.hpp"
+
+#include <easylogging++.h>
+
+#include <nlohmann/json.hpp>
+
+#include "eelgrassledge/core/time.hpp"
+
+INITIALIZE_EASYLOGGINGPP
+
+namespace eelgrassledge {
+
+namespace {
+
+auto name_of(log_level level) -> std::string {
+    switch (level) {
+        case log_level::debug:
+            return "debug";
+        case log_level::info:
+            return "info";
+        case log_level::warning:
+            return "warning";
+        case log_level::error:
+            return "error";
+    }
+    return "error";
+}
+
+auto configure_logger() -> void {
+    el::Configurations configuration;
+    configuration.setToDefault();
+    configuration.setGlobally(el::ConfigurationType::Format, "%msg");
+    configuration.setGlobally(el::ConfigurationType::ToFile, "false");
+    configuration.setGlobally(el::ConfigurationType::ToStandardOutput, "true");
+    el::Loggers::reconfigureAllLoggers(configuration);
+    el::Loggers::addFlag(el::LoggingFlag::ImmediateFlush);
+    el::Loggers::addFlag(el::LoggingFlag::DisableApplicationAbortOnFatalLog);
+}
+
+}  // namespace
+
+auto make_json_log(const std::string& instance, log_level lowest) -> event_log {
+    configure_logger();
+    return [instance, lowest](log_level level, std::string_view event, const std::vector<log_field>& fields) {
+        if (level < lowest) {
+            return;
+        }
+        nlohmann::json line{{"at_unix_us", wall_clock_now()},
+                            {"level", name_of(level)},
+                            {"instance", instance},
+                            {"event", event}};
+        for (const auto& field : fields) {
+            line[field.name] = field.value;
+        }
+        LOG(INFO) << line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+    };
+}
+
+}  // namespace eelgrassledge
--- /dev/null
+++ b/include/eelgrassledge/core/result_code.hpp
@@ -0,0 +1,115 @@
+#pragma once
+
+#include <cstdint>
+#include <span>
+#include <string>
+#include <string_view>
+
+#include <tl/expected.hpp>
+
+namespace eelgrassledge {
+
+/// Numbered result of a request, a sub-request or a command. Numbers are stable: they are never
+/// reused for another meaning. docs/ERRORS.md lists them all; a test compares it with this table.
+///
+/// Families: 1xx requests refused at the entry, 2xx sub-requests refused or failed at a broker or
+/// an upstream, 3xx configuration, 4xx platform and membership, 5xx command line and settings.
+enum class result_code : std::uint16_t {
+    ok = 0,
+
+    malformed_request = 101,
+    body_too_large = 102,
+    unknown_service = 103,
+    bad_deadline = 104,
+    unknown_caller = 105,
+    overloaded = 106,
+    no_snapshot = 108,
+    stopping = 109,
+    quarantined = 110,
+    already_claimed = 111,
+    claim_unavailable = 112,
+    deadline_passed = 113,
+    no_configuration = 114,
+    outcome_unknown = 115,
+    not_found = 117,
+    crashed_upstreams = 118,
+
+    queue_expired = 201,
+    not_owner = 202,
+    no_authority = 203,
+    upstream_leaving = 204,
+    upstream_shedding = 205,
+    upstream_failed = 206,
+    upstream_timeout = 207,
+    wrong_snapshot = 208,
+    wrong_shard = 209,
+    bad_answer = 210,
+    queue_full = 211,
+    cancelled = 212,
+    broker_lost = 213,
+    suspect_request = 214,
+    upstream_cold = 215,
+    upstream_unreachable = 216,
+
+    invalid_document = 301,
+    revision_conflict = 302,
+    forbidden = 303,
+    document_too_large = 304,
+
+    store_unavailable = 401,
+    store_conflict = 402,
+    store_unclear = 403,
+    store_bad_answer = 404,
+
+    bad_option = 501,
+    bad_settings = 502,
+    cannot_listen = 503,
+    daemon_unreachable = 504,
+    bad_reply = 505,
+};
+
+/// What a caller may conclude about a request that ended with a code.
+enum class run_state : std::uint8_t {
+    ran,              ///< The request ran and this is its answer.
+    not_run,          ///< No upstream has run or will run any part of the request.
+    partial,          ///< Parts of the request ran; the answer lists the shards that are missing.
+    outcome_unknown,  ///< The request may have run at an upstream, and may not have.
+};
+
+/// One row of the table of result codes.
+struct result_code_info {
+    result_code code;
+    std::string_view name;
+    run_state state;
+    std::string_view cause;
+};
+
+/// All result codes in ascending order of their numbers.
+[[nodiscard]] auto result_codes() -> std::span<const result_code_info>;
+
+/// The row of one code. Codes that are not in the table, such as a number read from a peer, give the
+/// row of `bad_answer`. Complexity: linear in the number of codes.
+[[nodiscard]] auto describe(result_code code) -> const result_code_info&;
+
+/// Converts a number received from a peer; numbers that are not in the table become `bad_answer`.
+[[nodiscard]] auto to_result_code(std::uint16_t number) -> result_code;
+
+[[nodiscard]] auto to_string(run_state state) -> std::string_view;
+
+/// An error with its code and a sentence for a person.
+struct error {
+    result_code code = result_code::ok;
+    std::string message;
+};
+
+template <class T>
+using result = tl::expected<T, error>;
+
+/// Builds the error side of a `result`.
+///
+/// Example: `return fail(result_code::bad_settings, "peer_address: expected IP:PORT");`
+[[nodiscard]] inline auto fail(result_code code, std::string message) -> tl::unexpected<error> {
+    return tl::unexpected<error>{error{code, std::move(message)}};
+}
+
+}  // namespace eelgrassledge
--- /dev/null
+++ b/include/eelgrassledge/core/strong_type.hpp
@@ -0,0 +1,43 @@
+#pragma once
+
+#include <compare>
+#include <cstddef>
+#include <functional>
+#include <ostream>
+#include <utility>
+
+namespace eelgrassledge {
+
+/// A value of type `Rep` that converts to nothing else, told apart by `Tag`.
+///
+/// Two ids of different kinds can neither be compared nor assigned to one another. The value is
+/// read with `value()`. Complexity of every operation is that of the same operation on `Rep`.
+///
+/// Example: `using epoch = strong_type<struct epoch_tag, std::uint64_t>;`
+template <class Tag, class Rep>
+class strong_type {
+  public:
+    using rep = Rep;
+
+    constexpr strong_type() = default;
+    constexpr explicit strong_type(Rep value) : value_(std::move(value)) {}
+
+    [[nodiscard]] constexpr auto value() const -> const Rep& { return value_; }
+
+    friend auto operator<=>(const strong_type&, const strong_type&) = default;
+    friend auto operator<<(std::ostream& out, const strong_type& id) -> std::ostream& {
+        return out << id.value_;
+    }
+
+  private:
+    Rep value_{};
+};
+
+}  // namespace eelgrassledge
+
+template <class Tag, class Rep>
+struct std::hash<eelgrassledge::strong_type<Tag, Rep>> {
+    auto operator()(const eelgrassledge::strong_type<Tag, Rep>& id) const -> std::size_t {
+        return std::hash<Rep>{}(id.value());
+    }
+};
--- /dev/null
+++ b/include/eelgrassledge/core/time.hpp
@@ -0,0 +1,38 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+
+namespace eelgrassledge {
+
+/// Clock of the decision library. It is never read there: callers pass the time with each event.
+///
+/// Daemons fill it from a monotonic clock that also counts while the machine is suspended; tests and
+/// benchmarks fill it from a counter.
+struct decision_clock {
+    using rep = std::int64_t;
+    using period = std::micro;
+    using duration = std::chrono::duration<rep, period>;
+    using time_point = std::chrono::time_point<decision_clock>;
+    static constexpr bool is_steady = true;
+};
+
+using duration = decision_clock::duration;
+using time_point = decision_clock::time_point;
+
+using std::chrono::microseconds;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// Milliseconds of a duration as a floating point number, for reports.
+[[nodiscard]] constexpr auto to_milliseconds(duration d) -> double {
+    return static_cast<double>(d.count()) / 1000.0;
+}
+
+/// Reads the monotonic clock that counts suspended time (`CLOCK_BOOTTIME`).
+[[nodiscard]] auto monotonic_now() -> time_point;
+
+/// Reads the wall clock as microseconds since the Unix epoch.
+[[nodiscard]] auto wall_clock_now() -> std::int64_t;
+
+}  // namespace eelgrassledge
--- /dev/null
+++ b/include/eelgrassledge/runtime/event_log.hpp
@@ -0,0 +1,22 @@
+#pragma once
+
+#include <functional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "eelgrassledge/config/settings.hpp"
+
+namespace eelgrassledge {
+
+/// One named value of a log line.
+struct log_field {
+    std::string name;
+    std::string value;
+};
+
+/// Writes one structured line: level, event and fields. The daemon fills it with JSON lines on standard
+/// error; tests fill it with a list.
+using event_log = std::function<void(log_level level, std::string_view event, const std::vector<log_field>& fields)>;
+
+}  // namespace eelgrassledge
--- /dev/null
+++ b/include/eelgrassledge/transport/upstream_client.hpp
@@ -0,0 +1,63 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "eelgrassledge/broker/upstream_broker.hpp"
+
+namespace eelgrassledge {
+
+/// Sends sub-requests to upstreams over HTTP/1.1, many at once, on one thread of its own.
+///
+/// Connections are kept and used again. A connection whose request was given up with `close_connection`
+/// is closed; after a plain cancellation the answer is awaited so that the connection stays usable.
+class upstream_client {
+  public:
+    using send_done = std::function<void(const sub_key&, const send_outcome&)>;
+    using poll_done = std::function<void(const std::optional<upstream_status>&)>;
+
+    struct statistics {
+        std::uint64_t connections_opened = 0;
+        std::uint64_t requests = 0;
+    };
+
+    upstream_client();
+    ~upstream_client();
+    upstream_client(const upstream_client&) = delete;
+    auto operator=(const upstream_client&) -> upstream_client& = delete;
+
+    /// Sends a sub-request. `done` is called once on the client's thread, also when it fails or is aborted
+    /// without closing its connection.
+    auto send(const std::string& address, const send_action& action, send_done done) -> void;
+
+    /// Cancels a sub-request that was sent. With `close_connection` its `done` is never called.
+    auto abort(const std::string& address, const abort_action& action) -> void;
+
+    /// Asks an upstream for its status.
+    auto poll(const std::string& address, poll_done done) -> void;
+
+    [[nodiscard]] auto counts() const -> statistics;
+
+    /// Ends the thread; calls in flight are dropped.
+    auto stop() -> void;
+
+  private:
+    struct implementation;
+    std::unique_ptr<implementation> impl_;
+};
+
+/// Id of a sub-request on its way to an upstream, echoed by the answer. Unlike the id that the entry gave,
+/// it is unique among all senders to the upstream, with overwhelming probability.
+using wire_id = strong_type<struct wire_id_tag, std::uint64_t>;
+
+/// Body of the request for a sub-request (JSON).
+[[nodiscard]] auto encode_sub_request(const sub_request& request, wire_id id, time_point deadline) -> std::string;
+
+/// Reads an upstream's answer. Answers of another form, or for another sub-request, give `bad_answer`.
+[[nodiscard]] auto decode_upstream_answer(int status, const std::string& body, wire_id id) -> send_outcome;
+
+/// Reads an upstream's status; empty when it is of another form.
+[[nodiscard]] auto decode_upstream_status(const std::string& body) -> std::optional<upstream_status>;
+
+}  // namespace eelgrassledge
--- /dev/null
+++ b/src/entry/latency_tracker.cpp
@@ -0,0 +1,71 @@
+#include "eelgrassledge/entry/latency_tracker.hpp"
+
+#include <boost/histogram/axis/regular.hpp>
+
+#include <algorithm>
+
+namespace eelgrassledge {
+
+namespace {
+
+constexpr int BUCKETS = 140;
+constexpr double SMALLEST_US = 50;
+constexpr double LARGEST_US = 60e6;
+/// Samples after which older counts are halved.
+constexpr std::size_t FADE_EVERY = 2000;
+
+using log_axis = boost::histogram::axis::regular<double, boost::histogram::axis::transform::log>;
+
+auto axis() -> const log_axis& {
+    static const log_axis buckets{BUCKETS, SMALLEST_US, LARGEST_US};
+    return buckets;
+}
+
+auto bucket_of(double us) -> std::size_t {
+    return static_cast<std::size_t>(std::clamp(axis().index(us), 0, BUCKETS - 1));
+}
+
+}  // namespace
+
+latency_tracker::latency_tracker() : counts_(BUCKETS, 0.0) {}
+
+auto latency_tracker::add(duration latency) -> void {
+    auto us = static_cast<double>(std::max<duration::rep>(latency.count(), 1));
+    counts_[bucket_of(us)] += 1;
+    weight_ += 1;
+    sum_us_ += us;
+    ++total_samples_;
+    if (++since_fade_ >= FADE_EVERY) {
+        fade();
+    }
+}
+
+auto latency_tracker::fade() -> void {
+    since_fade_ = 0;
+    for (auto& count : counts_) {
+        count /= 2;
+    }
+    weight_ /= 2;
+    sum_us_ /= 2;
+}
+
+auto latency_tracker::quantile(double share) const -> duration {
+    if (weight_ <= 0) {
+        return duration{0};
+    }
+    auto wanted = share * weight_;
+    double seen = 0;
+    for (int i = 0; i < BUCKETS; ++i) {
+        seen += counts_[static_cast<std::size_t>(i)];
+        if (seen >= wanted) {
+            return duration{static_cast<duration::rep>(axis().value(i + 1))};
+        }
+    }
+    return duration{static_cast<duration::rep>(LARGEST_US)};
+}
+
+auto latency_tracker::mean() const -> duration {
+    return weight_ > 0 ? duration{static_cast<duration::rep>(sum_us_ / weight_)} : duration{0};
+}
+
+}  // namespace eelgrassledge
--- /dev/null
+++ b/src/entry/service_view.cpp
@@ -0,0 +1,195 @@
+#include "eelgrassledge/entry/service_view.hpp"
+
+#include <algorithm>
+
+namespace eelgrassledge {
+
+namespace {
+
+/// Running time assumed while no answer was seen.
+constexpr duration UNKNOWN_SERVICE_TIME = milliseconds{8};
+/// Age at which a reported queue no longer counts.
+constexpr duration LOAD_FORGOTTEN_AFTER = milliseconds{500};
+/// Added to the expected finish of an upstream that takes no new work or is avoided.
+constexpr duration AVOIDED_PENALTY = seconds{10};
+/// Shards that one snapshot may have; a larger number in an answer is not believed.
+constexpr std::uint32_t MAX_SHARDS = 100'000;
+
+}  // namespace
+
+auto service_view::usable(const upstream_entry& entry) const -> bool {
+    return entry.route.zone_in && !entry.route.broker.value().empty();
+}
+
+auto service_view::set_routes(const std::vector<upstream_route>& routes) -> void {
+    std::map<upstream_id, upstream_entry> next;
+    for (const auto& route : routes) {
+        upstream_entry entry;
+        auto known = upstreams_.find(route.upstream);
+        if (known != upstreams_.end()) {
+            entry = known->second;
+        }
+        if (entry.route.broker != route.broker) {
+            entry.avoid_until = time_point{};
+            entry.load.admitting = true;
+        }
+        entry.route = route;
+        entry.load.upstream = route.upstream;
+        next.emplace(route.upstream, std::move(entry));
+    }
+    upstreams_ = std::move(next);
+    index_holdings();
+}
+
+auto service_view::index_holdings() -> void {
+    by_shard_.clear();
+    for (auto& [name, entry] : upstreams_) {
+        for (const auto& held : entry.load.holdings) {
+            if (held.shard_count == 0 || held.shard_count > MAX_SHARDS || held.shard.value() >= held.shard_count) {
+                continue;
+            }
+            auto& shards = by_shard_[held.snapshot];
+            if (shards.size() < held.shard_count) {
+                shards.resize(held.shard_count);
+            }
+            shards[held.shard.value()].push_back(&entry);
+        }
+    }
+}
+
+auto service_view::record_load(const upstream_load& load, time_point now) -> void {
+    auto found = upstreams_.find(load.upstream);
+    if (found == upstreams_.end()) {
+        return;
+    }
+    auto& entry = found->second;
+    auto holdings_changed = !load.holdings.empty() && entry.load.holdings != load.holdings;
+    auto holdings = load.holdings.empty() ? std::move(entry.load.holdings) : load.holdings;
+    entry.load = load;
+    entry.load.holdings = std::move(holdings);
+    entry.load_at = now;
+    entry.sent_since_load = 0;
+    if (holdings_changed) {
+        index_holdings();
+    }
+}
+
+auto service_view::sent(const upstream_id& upstream) -> void {
+    auto found = upstreams_.find(upstream);
+    if (found != upstreams_.end()) {
+        ++found->second.sent_since_load;
+    }
+}
+
+auto service_view::avoid(const upstream_id& upstream, time_point until) -> void {
+    auto found = upstreams_.find(upstream);
+    if (found != upstreams_.end()) {
+        found->second.avoid_until = std::max(found->second.avoid_until, until);
+    }
+}
+
+auto service_view::choose_snapshot() const -> std::optional<snapshot_choice> {
+    return choose_snapshot(std::nullopt);
+}
+
+auto service_view::newer_snapshot(snapshot_id than) const -> std::optional<snapshot_choice> {
+    return choose_snapshot(std::optional{than});
+}
+
+auto service_view::choose_snapshot(std::optional<snapshot_id> newer_than) const
+    -> std::optional<snapshot_choice> {
+    std::optional<snapshot_choice> best;
+    double best_share = -1;
+    for (const auto& [snapshot, shards] : by_shard_) {
+        if (newer_than && snapshot <= *newer_than) {
+            continue;
+        }
+        auto held = std::ranges::count_if(shards, [this](const auto& replicas) {
+            return std::ranges::any_of(replicas, [this](const auto* e) { return usable(*e); });
+        });
+        auto share = static_cast<double>(held) / static_cast<double>(shards.size());
+        if (held > 0 && share >= best_share) {
+            best_share = share;
+            best = snapshot_choice{snapshot, static_cast<std::uint32_t>(shards.size())};
+        }
+    }
+    return best;
+}
+
+auto service_view::replicas(snapshot_id snapshot, shard_index shard, lane priority, time_point now) const
+    -> std::vector<upstream_id> {
+    auto shards = by_shard_.find(snapshot);
+    if (shards == by_shard_.end() || shard.value() >= shards->second.size()) {
+        return {};
+    }
+    std::vector<std::pair<duration, const upstream_entry*>> ranked;
+    for (const auto* entry : shards->second[shard.value()]) {
+        if (usable(*entry)) {
+            ranked.emplace_back(expected_finish(*entry, priority, now), entry);
+        }
+    }
+    std::ranges::stable_sort(ranked, {}, &std::pair<duration, const upstream_entry*>::first);
+    std::vector<upstream_id> names;
+    names.reserve(ranked.size());
+    for (const auto& [finish, entry] : ranked) {
+        names.push_back(entry->route.upstream);
+    }
+    return names;
+}
+
+auto service_view::expected_finish(const upstream_id& upstream, lane priority, time_point now) const -> duration {
+    auto found = upstreams_.find(upstream);
+    return found == upstreams_.end() ? AVOIDED_PENALTY : expected_finish(found->second, priority, now);
+}
+
+auto service_view::expected_finish(const upstream_entry& entry, lane priority, time_point now) const -> duration {
+    auto service_time = entry.load.service_time;
+    if (service_time == duration{0}) {
+        service_time = service_times_.samples() > 0 ? service_times_.mean() : UNKNOWN_SERVICE_TIME;
+    }
+    auto slots = std::max(1U, entry.load.slots);
+    auto age = std::clamp(now - entry.load_at, duration{0}, LOAD_FORGOTTEN_AFTER);
+    auto fresh = 1.0 - static_cast<double>(age.count()) / static_cast<double>(LOAD_FORGOTTEN_AFTER.count());
+    auto waiting = priority == lane::priority ? entry.load.queued_priority : entry.load.queued;
+    auto running = priority == lane::priority ? std::min(entry.load.running, 1U) : entry.load.running;
+    auto ahead = fresh * (waiting + running) + entry.sent_since_load;
+    auto rounds = 1.0 + std::max(0.0, ahead - (slots - 1.0)) / slots;
+    auto finish = duration{static_cast<duration::rep>(rounds * static_cast<double>(service_time.count()))};
+    if (!entry.load.admitting || entry.avoid_until > now) {
+        finish += AVOIDED_PENALTY;
+    }
+    return finish;
+}
+
+auto service_view::best_finish(snapshot_id snapshot, shard_index shard, lane priority, time_point now) const
+    -> std::optional<duration> {
+    auto shards = by_shard_.find(snapshot);
+    if (shards == by_shard_.end() || shard.value() >= shards->second.size()) {
+        return std::nullopt;
+    }
+    std::optional<duration> best;
+    for (const auto* entry : shards->second[shard.value()]) {
+        if (usable(*entry) && entry->load.admitting && entry->avoid_until <= now) {
+            auto finish = expected_finish(*entry, priority, now);
+            best = best ? std::min(*best, finish) : finish;
+        }
+    }
+    return best;
+}
+
+auto service_view::broker_of(const upstream_id& upstream) const -> instance_id {
+    auto found = upstreams_.find(upstream);
+    return found == upstreams_.end() ? instance_id{} : found->second.route.broker;
+}
+
+auto service_view::without_holdings() const -> std::vector<upstream_id> {
+    std::vector<upstream_id> names;
+    for (const auto& [name, entry] : upstreams_) {
+        if (entry.load.holdings.empty() && !entry.route.broker.value().empty()) {
+            names.push_back(name);
+        }
+    }
+    return names;
+}
+
+}  // namespace eelgrassledge
--- /dev/null
+++ b/src/runtime/broker_runtime.cpp
@@ -0,0 +1,284 @@
+#include "eelgrassledge/runtime/broker_runtime.hpp"
+
+#include <algorithm>
+#include <atomic>
+
+namespace eelgrassledge {
+
+struct broker_runtime::upstream_shard {
+    upstream_shard(upstream_id name, const upstream_limits& limits) : broker(std::move(name), limits) {}
+
+    std::mutex lock;
+    upstream_broker broker;
+    std::string address;
+    std::atomic<bool> owned{false};
+    warmth last_warmth = warmth::unknown;
+    wakeup_thread::slot timer = 0;
+};
+
+namespace {
+
+auto limits_of(const service_spec& service) -> upstream_limits {
+    upstream_limits limits;
+    limits.slots = service.slots;
+    limits.priority_slots = service.priority_slots;
+    limits.queue_limit = service.queue_limit;
+    limits.warm_up = {service.cold_rate_per_s, service.warm_rate_per_s, service.warm_up_requests};
+    return limits;
+}
+
+auto to_string(warmth state) -> std::string {
+    switch (state) {
+        case warmth::unknown:
+            return "unknown";
+        case warmth::cold:
+            return "cold";
+        case warmth::warm:
+            return "warm";
+    }
+    return "unknown";
+}
+
+}  // namespace
+
+broker_runtime::broker_runtime(broker_hooks hooks, wakeup_thread& timers, metrics& counters, event_log log)
+    : hooks_(std::move(hooks)), timers_(timers), metrics_(counters), log_(std::move(log)) {}
+
+auto broker_runtime::find(const upstream_id& name) const -> std::shared_ptr<upstream_shard> {
+    std::shared_lock guard{lock_};
+    auto found = shards_.find(name);
+    return found == shards_.end() ? nullptr : found->second;
+}
+
+auto broker_runtime::address_of(upstream_shard& shard) -> std::string {
+    std::scoped_lock guard{shard.lock};
+    return shard.address;
+}
+
+auto broker_runtime::all() const -> std::vector<std::shared_ptr<upstream_shard>> {
+    std::shared_lock guard{lock_};
+    std::vector<std::shared_ptr<upstream_shard>> shards;
+    shards.reserve(shards_.size());
+    for (const auto& [name, shard] : shards_) {
+        shards.push_back(shard);
+    }
+    return shards;
+}
+
+// Runs one event under the upstream's lock and its actions outside it.
+template <class Event>
+auto broker_runtime::handle(const std::shared_ptr<upstream_shard>& shard, Event event) -> void {
+    broker_actions actions;
+    {
+        std::scoped_lock guard{shard->lock};
+        actions = event(shard->broker, monotonic_now());
+    }
+    run(shard, std::move(actions));
+    arm(shard);
+}
+
+auto broker_runtime::arm(const std::shared_ptr<upstream_shard>& shard) -> void {
+    std::optional<time_point> next;
+    warmth now_warmth{};
+    auto changed = false;
+    {
+        std::scoped_lock guard{shard->lock};
+        next = shard->broker.next_wakeup(monotonic_now());
+        now_warmth = shard->broker.warm_up().current();
+        changed = now_warmth != shard->last_warmth;
+        shard->last_warmth = now_warmth;
+    }
+    if (changed) {
+        log_(log_level::info, "upstream_warmth",
+             {{"upstream", shard->broker.name().value()}, {"warmth", to_string(now_warmth)}});
+    }
+    if (next) {
+        timers_.arm(shard->timer, *next);
+    }
+}
+
+auto broker_runtime::submit(sub_request request) -> void {
+    auto shard = find(request.upstream);
+    if (!shard) {
+        broker_message message;
+        message.answer.key = request.key;
+        message.answer.code = result_code::not_owner;
+        message.answer.snapshot = request.snapshot;
+        message.answer.shard = request.shard;
+        message.answer.load.upstream = request.upstream;
+        message.answer.load.admitting = false;
+        count_answer(message.answer);
+        hooks_.on_message(std::move(message));
+        return;
+    }
+    {
+        std::scoped_lock guard{keys_lock_};
+        upstream_by_key_[request.key] = request.upstream;
+    }
+    handle(shard, [&](upstream_broker& broker, time_point now) { return broker.submit(std::move(request), now); });
+}
+
+auto broker_runtime::cancel(const sub_key& key) -> void {
+    upstream_id name;
+    {
+        std::scoped_lock guard{keys_lock_};
+        auto found = upstream_by_key_.find(key);
+        if (found == upstream_by_key_.end()) {
+            return;
+        }
+        name = found->second;
+        upstream_by_key_.erase(found);
+    }
+    if (auto shard = find(name)) {
+        handle(shard, [&](upstream_broker& broker, time_point now) { return broker.cancel(key, now); });
+    }
+}
+
+auto broker_runtime::cancel_link(link_id link) -> void {
+    for (const auto& shard : all()) {
+        handle(shard, [&](upstream_broker& broker, time_point now) { return broker.cancel_link(link, now); });
+    }
+    std::scoped_lock guard{keys_lock_};
+    std::erase_if(upstream_by_key_, [&](const auto& item) { return item.first.link == link; });
+}
+
+auto broker_runtime::run(const std::shared_ptr<upstream_shard>& shard, broker_actions actions) -> void {
+    for (auto& action : actions) {
+        if (auto* send = std::get_if<send_action>(&action)) {
+            metrics_.count("eelgrassledge_upstream_requests_total", {{"service", send->request.service.value()}});
+            client_.send(address_of(*shard), *send, [this, shard](const sub_key& key, const send_outcome& outcome) {
+                on_sent(shard, key, outcome);
+            });
+        } else if (auto* answer = std::get_if<answer_action>(&action)) {
+            {
+                std::scoped_lock guard{keys_lock_};
+                upstream_by_key_.erase(answer->answer.key);
+            }
+            count_answer(answer->answer);
+            hooks_.on_message({std::move(answer->answer), false});
+        } else if (auto* slow = std::get_if<slow_action>(&action)) {
+            broker_message message;
+            message.answer.key = slow->key;
+            message.slow = true;
+            hooks_.on_message(std::move(message));
+        } else if (auto* aborted = std::get_if<abort_action>(&action)) {
+            metrics_.count("eelgrassledge_upstream_aborts_total",
+                           {{"connection", aborted->close_connection ? "closed" : "kept"}});
+            client_.abort(address_of(*shard), *aborted);
+        } else if (auto* strike = std::get_if<strike_action>(&action)) {
+            hooks_.on_strike(strike->print, strike->strikes);
+        }
+    }
+}
+
+auto broker_runtime::on_sent(const std::shared_ptr<upstream_shard>& shard, const sub_key& key,
+                             const send_outcome& outcome) -> void {
+    handle(shard, [&](upstream_broker& broker, time_point now) { return broker.completed(key, outcome, now); });
+}
+
+auto broker_runtime::count_answer(const sub_answer& answer) -> void {
+    metrics_.count("eelgrassledge_sub_answers_total", {{"code", std::string{describe(answer.code).name}}});
+    if (answer.code == result_code::ok) {
+        metrics_.observe("eelgrassledge_upstream_latency_seconds", {}, answer.service_time);
+    }
+}
+
+auto broker_runtime::configure(const document& doc) -> void {
+    for (const auto& [name, upstream] : doc.upstreams) {
+        auto limits = limits_of(doc.services.at(upstream.service));
+        auto shard = find(name);
+        if (shard) {
+            std::scoped_lock guard{shard->lock};
+            shard->broker.configure(limits);
+            shard->address = upstream.address;
+            continue;
+        }
+        shard = std::make_shared<upstream_shard>(name, limits);
+        shard->address = upstream.address;
+        std::weak_ptr<upstream_shard> weak = shard;
+        shard->timer = timers_.add([this, weak] {
+            if (auto alive = weak.lock()) {
+                handle(alive, [](upstream_broker& broker, time_point now) { return broker.advance(now); });
+            }
+        });
+        std::unique_lock guard{lock_};
+        shards_[name] = shard;
+    }
+}
+
+auto broker_runtime::set_ownership(const std::vector<ownership>& owned) -> void {
+    std::map<upstream_id, const ownership*> by_name;
+    for (const auto& item : owned) {
+        by_name[item.upstream] = &item;
+    }
+    for (const auto& shard : all()) {
+        auto found = by_name.find(shard->broker.name());
+        auto now_owned = found != by_name.end() && found->second->authority.owned;
+        if (!now_owned && !shard->owned) {
+            continue;
+        }
+        if (now_owned != shard->owned) {
+            log_(log_level::info, "ownership",
+                 {{"upstream", shard->broker.name().value()}, {"owned", now_owned ? "true" : "false"}});
+            metrics_.count("eelgrassledge_ownership_changes_total", {{"owned", now_owned ? "true" : "false"}});
+            shard->owned = now_owned;
+        }
+        handle(shard, [&](upstream_broker& broker, time_point now) {
+            if (!now_owned) {
+                return broker.set_authority({}, now);
+            }
+            if (found->second->inherited) {
+                broker.inherit(*found->second->inherited);
+            }
+            auto actions = broker.set_leaving(found->second->leaving, now);
+            std::ranges::move(broker.set_authority(found->second->authority, now), std::back_inserter(actions));
+            return actions;
+        });
+    }
+}
+
+auto broker_runtime::poll_statuses() -> void {
+    for (const auto& shard : all()) {
+        if (!shard->owned) {
+            continue;
+        }
+        client_.poll(address_of(*shard), [this, shard](const std::optional<upstream_status>& status) {
+            handle(shard, [&](upstream_broker& broker, time_point now) { return broker.polled(status, now); });
+        });
+    }
+}
+
+auto broker_runtime::summary() const -> report {
+    report total;
+    for (const auto& shard : all()) {
+        std::scoped_lock guard{shard->lock};
+        const auto& broker = shard->broker;
+        total.running += broker.running();
+        total.queued += broker.queued();
+        if (!shard->owned && broker.running() > 0) {
+            total.busy.push_back(broker.name());
+        }
+        auto state = broker.warm_up().state();
+        if (shard->owned && state) {
+            total.warm_ups.push_back({broker.name(), *state});
+        }
+    }
+    return total;
+}
+
+auto broker_runtime::loads() const -> std::vector<upstream_load> {
+    std::vector<upstream_load> loads;
+    for (const auto& shard : all()) {
+        std::scoped_lock guard{shard->lock};
+        if (shard->owned) {
+            loads.push_back(shard->broker.load());
+        }
+    }
+    return loads;
+}
+
+auto broker_runtime::stop() -> void {
+    client_.stop();
+}
+
+}  // namespace eelgrassledge
--- /dev/null
+++ b/src/runtime/platform_link.cpp
@@ -0,0 +1,202 @@
+#include "eelgrassledge/runtime/platform_link.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include "eelgrassledge/platform/etcd_store.hpp"
+#include "eelgrassledge/transport/http_call.hpp"
+
+namespace eelgrassledge {
+
+namespace {
+
+constexpr duration STEP_PAUSE = milliseconds{20};
+constexpr duration INSTANCE_LIST_INTERVAL = milliseconds{1000};
+constexpr duration INSTANCE_LIST_TIMEOUT = milliseconds{900};
+/// A watch that says nothing for this long, not even progress, is opened again.
+constexpr duration WATCH_SILENCE = seconds{4};
+constexpr duration WATCH_PAUSE = milliseconds{200};
+
+/// Wraps a hook of the store so that its calls and failures are counted.
+template <class Result, class... Args>
+auto counted(std::function<Result(Args...)> hook, metrics& counters, const char* name) -> std::function<Result(Args...)> {
+    return [hook = std::move(hook), &counters, name](Args... args) {
+        auto answer = hook(args...);
+        auto outcome = answer ? std::string{"ok"} : std::string{describe(answer.error().code).name};
+        counters.count("eelgrassledge_platform_calls_total", {{"call", name}, {"outcome", outcome}});
+        return answer;
+    };
+}
+
+auto counted(const store& plain, metrics& counters) -> store {
+    return {counted(plain.read, counters, "read"),      counted(plain.put_if, counters, "put_if"),
+            counted(plain.remove_if, counters, "remove_if"), counted(plain.grant, counters, "grant"),
+            counted(plain.keep_alive, counters, "keep_alive"), counted(plain.revoke, counters, "revoke")};
+}
+
+/// Runs one call of the store and puts its answer into a field of the reply.
+template <class Answer, class Field>
+auto into(const result<Answer>& answer, Field field) -> result<store_reply> {
+    if (!answer) {
+        return tl::unexpected{answer.error()};
+    }
+    store_reply reply;
+    reply.*field = *answer;
+    return reply;
+}
+
+}  // namespace
+
+platform_link::platform_link(std::vector<std::string> addresses, shared_coordinator& coordinator, metrics& counters,
+                             event_log log)
+    : addresses_(std::move(addresses)),
+      coordinator_(coordinator),
+      metrics_(counters),
+      log_(std::move(log)),
+      store_(counted(make_etcd_store(addresses_), counters)) {
+    threads_.emplace_back([this] { run_store_ops(); });
+    threads_.emplace_back([this] { run_watch(); });
+    threads_.emplace_back([this] { run_instance_list(); });
+}
+
+platform_link::~platform_link() {
+    stop();
+}
+
+auto platform_link::stop() -> void {
+    stopping_ = true;
+    for (auto& thread : threads_) {
+        if (thread.joinable()) {
+            thread.join();
+        }
+    }
+}
+
+auto platform_link::pause(duration length) -> void {
+    auto until = monotonic_now() + length;
+    while (!stopping_ && monotonic_now() < until) {
+        std::this_thread::sleep_for(std::min<duration>(STEP_PAUSE, until - monotonic_now()));
+    }
+}
+
+auto platform_link::is_reporter() -> bool {
+    std::scoped_lock guard{coordinator_.lock};
+    return coordinator_.decisions.is_reporter();
+}
+
+auto platform_link::perform(const store_op& op) -> result<store_reply> {
+    if (std::holds_alternative<read_shared_op>(op)) {
+        return into(store_.read(store_keys::SHARED), &store_reply::keys);
+    }
+    if (std::holds_alternative<read_reporter_op>(op)) {
+        return into(store_.read(reporter_key()), &store_reply::keys);
+    }
+    if (std::holds_alternative<grant_op>(op)) {
+        return into(store_.grant(lease_time()), &store_reply::lease);
+    }
+    if (const auto* create = std::get_if<create_reporter_op>(&op)) {
+        return into(store_.put_if(reporter_key(), create->value, mod_revision{}, create->lease), &store_reply::put);
+    }
+    if (const auto* renew = std::get_if<keep_alive_op>(&op)) {
+        return into(store_.keep_alive(renew->lease), &store_reply::time_to_live);
+    }
+    if (const auto* write = std::get_if<write_assignment_op>(&op)) {
+        auto key = store_keys::ASSIGNMENTS + write->value.zone.value();
+        return into(store_.put_if(key, to_json(write->value), write->expected, lease_id{}), &store_reply::put);
+    }
+    auto ended = store_.revoke(std::get<revoke_op>(op).lease);
+    if (!ended) {
+        return tl::unexpected{ended.error()};
+    }
+    return store_reply{};
+}
+
+auto platform_link::reporter_key() -> std::string {
+    std::scoped_lock guard{coordinator_.lock};
+    return store_keys::REPORTERS + coordinator_.decisions.self().zone.value() + "/holder";
+}
+
+auto platform_link::lease_time() -> seconds {
+    std::scoped_lock guard{coordinator_.lock};
+    return std::chrono::duration_cast<seconds>(coordinator_.decisions.times().lease_ttl);
+}
+
+auto platform_link::run_store_ops() -> void {
+    auto was_reporter = false;
+    while (!stopping_) {
+        std::optional<store_op> op;
+        {
+            std::scoped_lock guard{coordinator_.lock};
+            op = coordinator_.decisions.next_store_op(monotonic_now());
+        }
+        if (!op) {
+            std::this_thread::sleep_for(STEP_PAUSE);
+            continue;
+        }
+        auto sent = monotonic_now();
+        auto reply = perform(*op);
+        {
+            std::scoped_lock guard{coordinator_.lock};
+            coordinator_.decisions.on_store(*op, reply, sent, monotonic_now());
+        }
+        if (is_reporter() != was_reporter) {
+            was_reporter = !was_reporter;
+            log_(log_level::info, "reporter", {{"reporting", was_reporter ? "true" : "false"}});
+        }
+    }
+}
+
+auto platform_link::run_watch() -> void {
+    std::size_t next_address = 0;
+    while (!stopping_) {
+        if (!is_reporter()) {
+            pause(WATCH_PAUSE);
+            continue;
+        }
+        metrics_.count("eelgrassledge_platform_calls_total", {{"call", "watch"}, {"outcome", "opened"}});
+        const auto& address = addresses_[next_address++ % addresses_.size()];
+        auto ended = watch_etcd_prefix(address, store_keys::SHARED, WATCH_SILENCE, [this](const auto& keys) {
+            std::scoped_lock guard{coordinator_.lock};
+            coordinator_.decisions.on_shared_keys(keys);
+            return !stopping_ && coordinator_.decisions.is_reporter();
+        });
+        if (!ended) {
+            log_(log_level::debug, "watch_ended", {{"reason", ended.error().message}});
+        }
+        pause(WATCH_PAUSE);
+    }
+}
+
+auto platform_link::read_instance_list() -> void {
+    for (const auto& address : addresses_) {
+        auto answer = call_http({"GET", "http://" + address + "/instances", "", {}, INSTANCE_LIST_TIMEOUT});
+        metrics_.count("eelgrassledge_platform_calls_total",
+                       {{"call", "instances"}, {"outcome", answer.failure == http_failure::none ? "ok" : "failed"}});
+        if (answer.failure != http_failure::none || answer.response.status != 200) {
+            continue;
+        }
+        auto list = nlohmann::json::parse(answer.response.body, nullptr, false);
+        if (!list.is_array()) {
+            continue;
+        }
+        std::vector<upstream_id> leaving;
+        for (const auto& item : list) {
+            if (item.is_object() && item.value("state", "") == "leaving") {
+                leaving.emplace_back(item.value("name", ""));
+            }
+        }
+        std::scoped_lock guard{coordinator_.lock};
+        coordinator_.decisions.on_instance_list(std::move(leaving));
+        return;
+    }
+}
+
+auto platform_link::run_instance_list() -> void {
+    while (!stopping_) {
+        if (is_reporter()) {
+            read_instance_list();
+        }
+        pause(INSTANCE_LIST_INTERVAL);
+    }
+}
+
+}  // namespace eelgrassledge
--- /dev/null
+++ b/src/transport/upstream_codec.cpp
@@ -0,0 +1,116 @@
+#include <nlohmann/json.hpp>
+
+#include "eelgrassledge/transport/upstream_client.hpp"
+
+namespace eelgrassledge {
+
+namespace {
+
+using nlohmann::json;
+
+/// Hits that one answer may carry.
+constexpr std::size_t MAX_HITS = 10'000;
+constexpr std::size_t MAX_HOLDINGS = 64;
+
+auto holdings_of(const json& from) -> std::vector<holding> {
+    std::vector<holding> holdings;
+    for (const auto& item : from) {
+        if (holdings.size() >= MAX_HOLDINGS) {
+            break;
+        }
+        holdings.push_back({snapshot_id{item.at("snapshot").get<std::uint64_t>()},
+                            shard_index{item.at("shard").get<std::uint32_t>()},
+                            item.at("shards").get<std::uint32_t>()});
+    }
+    return holdings;
+}
+
+auto hits_of(const json& from) -> std::vector<hit> {
+    std::vector<hit> hits;
+    if (from.size() > MAX_HITS) {
+        throw std::length_error{"too many hits"};
+    }
+    for (const auto& item : from) {
+        hits.push_back({item.at("record").get<std::string>(), item.at("score").get<double>(),
+                        item.value("body", std::string{})});
+    }
+    return hits;
+}
+
+auto refusal_code(int status, const std::string& reason) -> result_code {
+    if (status == 503 && reason == "draining") {
+        return result_code::upstream_leaving;
+    }
+    if (status == 503) {
+        return result_code::upstream_shedding;
+    }
+    if (status == 409) {
+        return result_code::wrong_snapshot;
+    }
+    if (status == 499) {
+        return result_code::cancelled;
+    }
+    if (status == 504) {
+        return result_code::upstream_timeout;
+    }
+    return result_code::bad_answer;
+}
+
+auto decode(int status, const json& body, wire_id id) -> send_outcome {
+    send_outcome outcome;
+    outcome.start = start_id{body.at("start_id").get<std::uint64_t>()};
+    outcome.holdings = holdings_of(body.at("holdings"));
+    if (body.at("sub_id").get<std::uint64_t>() != id.value()) {
+        outcome.code = result_code::bad_answer;
+        return outcome;
+    }
+    if (status != 200) {
+        outcome.code = refusal_code(status, body.value("reason", std::string{}));
+        return outcome;
+    }
+    outcome.snapshot = snapshot_id{body.at("snapshot").get<std::uint64_t>()};
+    outcome.shard = shard_index{body.at("shard").get<std::uint32_t>()};
+    outcome.hits = hits_of(body.at("hits"));
+    return outcome;
+}
+
+}  // namespace
+
+auto encode_sub_request(const sub_request& request, wire_id id, time_point deadline) -> std::string {
+    auto left = deadline - monotonic_now();
+    json body{{"sub_id", id.value()},
+              {"request_id", request.request.value()},
+              {"query", request.text},
+              {"limit", request.limit},
+              {"snapshot", request.snapshot.value()},
+              {"shard", request.shard.value()},
+              {"idempotent", request.idempotent},
+              {"deadline_unix_us", wall_clock_now() + left.count()}};
+    return body.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+auto decode_upstream_answer(int status, const std::string& body, wire_id id) -> send_outcome {
+    send_outcome outcome;
+    outcome.code = result_code::bad_answer;
+    try {
+        auto parsed = json::parse(body, nullptr, false);
+        return parsed.is_object() ? decode(status, parsed, id) : outcome;
+    } catch (const std::exception&) {
+        return outcome;
+    }
+}
+
+auto decode_upstream_status(const std::string& body) -> std::optional<upstream_status> {
+    try {
+        auto parsed = json::parse(body, nullptr, false);
+        if (!parsed.is_object()) {
+            return std::nullopt;
+        }
+        return upstream_status{start_id{parsed.at("start_id").get<std::uint64_t>()}, parsed.value("draining", false),
+                               holdings_of(parsed.at("holdings"))};
+    } catch (const std::exception&) {
+        return std::nullopt;
+    }
+}
+
+}  // namespace eelgrassledge
