--- a/include/eelgrassledge/transport/http_call.hpp
+++ b/include/eelgrassledge/transport/http_call.hpp
@@ -19,8 +19,9 @@
 /// How a call failed, told apart because it decides whether the request may have taken effect.
 enum class http_failure : std::uint8_t {
     none,
-    not_sent,  ///< No connection could be opened.
-    unclear,   ///< The request may have been sent.
+    not_sent,      ///< No connection could be opened.
+    unclear,       ///< The request may have been sent.
+    bad_response,  ///< Something answered, but not with a usable response.
 };
 
 struct http_result {
@@ -34,7 +35,7 @@
     std::string url;
     std::string body;
     std::vector<std::string> headers;
-    duration timeout = milliseconds{2000};
+    duration timeout = milliseconds{2000};  ///< Zero for none.
     std::size_t max_response_bytes = std::size_t{16} << 20U;
 };
 
--- /dev/null
+++ b/include/eelgrassledge/transport/http_loop.hpp
@@ -0,0 +1,47 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "eelgrassledge/core/strong_type.hpp"
+#include "eelgrassledge/transport/http_call.hpp"
+
+namespace eelgrassledge {
+
+/// Number of a call in an `http_loop`.
+using call_id = strong_type<struct call_id_tag, std::uint64_t>;
+
+/// Many HTTP calls at once on one thread, over connections that are kept and used again.
+class http_loop {
+  public:
+    using done = std::function<void(const http_result&)>;
+
+    struct statistics {
+        std::uint64_t connections_opened = 0;
+        std::uint64_t calls = 0;
+    };
+
+    http_loop();
+    ~http_loop();
+    http_loop(const http_loop&) = delete;
+    auto operator=(const http_loop&) -> http_loop& = delete;
+
+    /// Starts a call. `on_done` is called once on the loop's thread unless the call is dropped. A request
+    /// with `fresh_connection` never uses an old connection, and so is never sent twice.
+    auto start(http_request request, bool fresh_connection, done on_done) -> call_id;
+
+    /// Drops a call and closes its connection; its `on_done` is not called.
+    auto drop(call_id call) -> void;
+
+    [[nodiscard]] auto counts() const -> statistics;
+
+    /// Ends the thread; calls in flight are dropped.
+    auto stop() -> void;
+
+  private:
+    struct implementation;
+    std::unique_ptr<implementation> impl_;
+};
+
+}  // namespace eelgrassledge
--- a/include/eelgrassledge/transport/upstream_client.hpp
+++ b/include/eelgrassledge/transport/upstream_client.hpp
@@ -1,13 +1,20 @@
 #pragma once
 
+#include <atomic>
 #include <functional>
-#include <memory>
+#include <map>
+#include <mutex>
 #include <string>
 
 #include "eelgrassledge/broker/upstream_broker.hpp"
+#include "eelgrassledge/transport/http_loop.hpp"
 
 namespace eelgrassledge {
 
+/// Id of a sub-request on its way to an upstream, echoed by the answer. Unlike the id that the entry gave,
+/// it is unique among all senders to the upstream, with overwhelming probability.
+using wire_id = strong_type<struct wire_id_tag, std::uint64_t>;
+
 /// Sends sub-requests to upstreams over HTTP/1.1, many at once, on one thread of its own.
 ///
 /// Connections are kept and used again. A connection whose request was given up with `close_connection`
@@ -17,13 +24,8 @@
     using send_done = std::function<void(const sub_key&, const send_outcome&)>;
     using poll_done = std::function<void(const std::optional<upstream_status>&)>;
 
-    struct statistics {
-        std::uint64_t connections_opened = 0;
-        std::uint64_t requests = 0;
-    };
-
     upstream_client();
-    ~upstream_client();
+    ~upstream_client() = default;
     upstream_client(const upstream_client&) = delete;
     auto operator=(const upstream_client&) -> upstream_client& = delete;
 
@@ -37,19 +39,23 @@
     /// Asks an upstream for its status.
     auto poll(const std::string& address, poll_done done) -> void;
 
-    [[nodiscard]] auto counts() const -> statistics;
+    [[nodiscard]] auto counts() const -> http_loop::statistics;
 
     /// Ends the thread; calls in flight are dropped.
     auto stop() -> void;
 
   private:
-    struct implementation;
-    std::unique_ptr<implementation> impl_;
-};
+    struct sent_request {
+        call_id call;
+        wire_id id;
+    };
+    auto finish(const sub_key& key, wire_id id, const http_result& result, const send_done& done) -> void;
 
-/// Id of a sub-request on its way to an upstream, echoed by the answer. Unlike the id that the entry gave,
-/// it is unique among all senders to the upstream, with overwhelming probability.
-using wire_id = strong_type<struct wire_id_tag, std::uint64_t>;
+    std::mutex lock_;
+    std::map<sub_key, sent_request> sent_;
+    std::atomic<std::uint64_t> next_wire_id_;
+    http_loop loop_;
+};
 
 /// Body of the request for a sub-request (JSON).
 [[nodiscard]] auto encode_sub_request(const sub_request& request, wire_id id, time_point deadline) -> std::string;
--- a/src/peer/peer_network.cpp
+++ b/src/peer/peer_network.cpp
@@ -126,8 +126,8 @@
     auto run(std::promise<bool>& started) -> void {
         auto context = kj::setupAsyncIo();
         io = &context;
-        kj::TaskSet running_tasks{*this};
-        tasks = &running_tasks;
+        auto running_tasks = kj::heap<kj::TaskSet>(*this);
+        tasks = running_tasks.get();
         auto stopped = kj::newPromiseAndFulfiller<void>();
         on_stop = kj::mv(stopped.fulfiller);
         kj::Maybe<kj::Exception> failure = kj::runCatchingExceptions([&] { listen(); });
@@ -138,12 +138,16 @@
             tasks->add(read_wakeups());
             stopped.promise.wait(context.waitScope);
         }
+        // Everything that belongs to the event loop is dropped on its thread, users before what they use.
         kj::runCatchingExceptions([&] {
+            running_tasks = nullptr;
             links.clear();
             sinks.clear();
+            receiver = nullptr;
             server = nullptr;
         });
         wake_input = nullptr;
+        on_stop = nullptr;
     }
 
     auto listen() -> void;
--- a/src/platform/etcd_store.cpp
+++ b/src/platform/etcd_store.cpp
@@ -36,7 +36,7 @@
         auto failure = error{result_code::store_unavailable, "no store address"};
         for (const auto& address : addresses_) {
             auto answer = call_http({"POST", "http://" + address + path, body.dump(), {}, CALL_TIMEOUT});
-            if (answer.failure == http_failure::unclear && writes) {
+            if (answer.failure != http_failure::none && answer.failure != http_failure::not_sent && writes) {
                 return fail(result_code::store_unclear, answer.reason);
             }
             if (answer.failure != http_failure::none) {
--- a/src/runtime/application.cpp
+++ b/src/runtime/application.cpp
@@ -16,6 +16,8 @@
 constexpr duration STOP_NOTICE = milliseconds{1500};
 /// An entry whose zone or instance was taken out still takes work for this long.
 constexpr duration OUT_NOTICE = milliseconds{3000};
+/// Once its own work is finished, a daemon waits this long for a successor to take its upstreams over.
+constexpr duration RELEASE_WAIT = milliseconds{3000};
 constexpr duration DRAIN_STEP = milliseconds{20};
 /// A lease for claims is replaced when it has this long to live less than a claim should.
 constexpr duration CLAIM_LEASE_AGE = seconds{3600};
@@ -484,6 +486,7 @@
         coordinator_.decisions.leave();
     }
     auto begun = monotonic_now();
+    auto idle_since = begun;
     auto released = [this] {
         std::scoped_lock guard{coordinator_.lock};
         return coordinator_.decisions.released();
@@ -492,8 +495,12 @@
         refuse_new_ = monotonic_now() >= begun + STOP_NOTICE;
         auto work = broker_->summary();
         auto idle = entry_->running() == 0 && work.running == 0 && work.queued == 0;
-        if (refuse_new_ && idle && released()) {
-            log_(log_level::info, "stopped", {{"clean", "true"}});
+        if (!refuse_new_ || !idle) {
+            idle_since = monotonic_now();
+        }
+        auto handed_over = released();
+        if (refuse_new_ && idle && (handed_over || monotonic_now() >= idle_since + RELEASE_WAIT)) {
+            log_(log_level::info, "stopped", {{"clean", "true"}, {"handed_over", handed_over ? "true" : "false"}});
             return true;
         }
         std::this_thread::sleep_for(DRAIN_STEP);
--- /dev/null
+++ b/src/transport/curl_request.cpp
@@ -0,0 +1,109 @@
+#include "curl_request.hpp"
+
+namespace eelgrassledge {
+
+namespace {
+
+constexpr long CONNECT_TIMEOUT_MS = 1000;
+
+auto deliver_lines(response_sink& sink) -> bool {
+    std::size_t begin = 0;
+    for (auto end = sink.response.body.find('\n'); end != std::string::npos; end = sink.response.body.find('\n', begin)) {
+        if (!(*sink.on_line)(std::string_view{sink.response.body}.substr(begin, end - begin))) {
+            return false;
+        }
+        begin = end + 1;
+    }
+    sink.response.body.erase(0, begin);
+    return true;
+}
+
+auto on_body(char* data, std::size_t size, std::size_t count, void* user) -> std::size_t {
+    auto& sink = *static_cast<response_sink*>(user);
+    sink.response.body.append(data, size * count);
+    if (sink.response.body.size() > sink.limit) {
+        return 0;
+    }
+    if (sink.on_line != nullptr && !deliver_lines(sink)) {
+        return 0;
+    }
+    return size * count;
+}
+
+auto on_header(char* data, std::size_t size, std::size_t count, void* user) -> std::size_t {
+    constexpr std::string_view RETRY_AFTER = "retry-after:";
+    std::string_view line{data, size * count};
+    if (line.size() > RETRY_AFTER.size() && curl_strnequal(line.data(), RETRY_AFTER.data(), RETRY_AFTER.size()) != 0) {
+        auto value = line.substr(RETRY_AFTER.size());
+        auto begin = value.find_first_not_of(' ');
+        auto end = value.find_last_not_of("\r\n ");
+        *static_cast<std::string*>(user) =
+            begin == std::string_view::npos ? std::string{} : std::string{value.substr(begin, end - begin + 1)};
+    }
+    return size * count;
+}
+
+auto headers_of(const http_request& request) -> header_list {
+    curl_slist* list = curl_slist_append(nullptr, "Content-Type: application/json");
+    list = curl_slist_append(list, "Expect:");
+    for (const auto& header : request.headers) {
+        list = curl_slist_append(list, header.c_str());
+    }
+    return header_list{list};
+}
+
+auto failure_of(CURLcode code) -> http_failure {
+    switch (code) {
+        case CURLE_OK:
+            return http_failure::none;
+        case CURLE_COULDNT_CONNECT:
+        case CURLE_COULDNT_RESOLVE_HOST:
+        case CURLE_URL_MALFORMAT:
+            return http_failure::not_sent;
+        case CURLE_WRITE_ERROR:
+        case CURLE_WEIRD_SERVER_REPLY:
+            return http_failure::bad_response;
+        default:
+            return http_failure::unclear;
+    }
+}
+
+}  // namespace
+
+auto prepare(CURL* handle, const http_request& request, response_sink& sink) -> header_list {
+    auto headers = headers_of(request);
+    sink.limit = request.max_response_bytes;
+    curl_easy_setopt(handle, CURLOPT_URL, request.url.c_str());
+    curl_easy_setopt(handle, CURLOPT_CUSTOMREQUEST, request.method.c_str());
+    curl_easy_setopt(handle, CURLOPT_HTTPHEADER, headers.get());
+    curl_easy_setopt(handle, CURLOPT_WRITEFUNCTION, on_body);
+    curl_easy_setopt(handle, CURLOPT_WRITEDATA, &sink);
+    curl_easy_setopt(handle, CURLOPT_HEADERFUNCTION, on_header);
+    curl_easy_setopt(handle, CURLOPT_HEADERDATA, &sink.response.retry_after);
+    curl_easy_setopt(handle, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(handle, CURLOPT_TCP_NODELAY, 1L);
+    curl_easy_setopt(handle, CURLOPT_PROXY, "");
+    curl_easy_setopt(handle, CURLOPT_CONNECTTIMEOUT_MS, CONNECT_TIMEOUT_MS);
+    curl_easy_setopt(handle, CURLOPT_TIMEOUT_MS, static_cast<long>(to_milliseconds(request.timeout)));
+    if (!request.body.empty() || request.method == "POST" || request.method == "PUT") {
+        curl_easy_setopt(handle, CURLOPT_POSTFIELDSIZE, static_cast<long>(request.body.size()));
+        curl_easy_setopt(handle, CURLOPT_POSTFIELDS, request.body.c_str());
+    }
+    return headers;
+}
+
+auto finish_call(CURL* handle, CURLcode code, response_sink& sink) -> http_result {
+    http_result result;
+    result.failure = failure_of(code);
+    if (code != CURLE_OK) {
+        result.reason = curl_easy_strerror(code);
+        return result;
+    }
+    long status = 0;
+    curl_easy_getinfo(handle, CURLINFO_RESPONSE_CODE, &status);
+    result.response = std::move(sink.response);
+    result.response.status = static_cast<int>(status);
+    return result;
+}
+
+}  // namespace eelgrassledge
--- /dev/null
+++ b/src/transport/http_loop.cpp
@@ -0,0 +1,196 @@
+#include "eelgrassledge/transport/http_loop.hpp"
+
+#include <atomic>
+#include <map>
+#include <mutex>
+#include <thread>
+#include <variant>
+#include <vector>
+
+#include "curl_request.hpp"
+
+namespace eelgrassledge {
+
+namespace {
+
+/// Idle connections kept over all addresses.
+constexpr long MAX_IDLE_CONNECTIONS = 4000;
+constexpr int MAX_WAIT_MS = 1000;
+
+struct call {
+    call_id id;
+    http_request request;
+    bool fresh_connection = false;
+    http_loop::done on_done;
+    response_sink sink;
+    header_list headers;
+};
+
+struct drop_command {
+    call_id id;
+};
+
+using command = std::variant<std::unique_ptr<call>, drop_command>;
+
+}  // namespace
+
+struct http_loop::implementation {
+    implementation() : multi(curl_multi_init()) {
+        curl_multi_setopt(multi, CURLMOPT_MAXCONNECTS, MAX_IDLE_CONNECTIONS);
+        worker = std::thread{[this] { run(); }};
+    }
+
+    ~implementation() {
+        stop();
+        for (auto& [handle, owned] : calls) {
+            curl_multi_remove_handle(multi, handle);
+            curl_easy_cleanup(handle);
+        }
+        for (auto* handle : idle_handles) {
+            curl_easy_cleanup(handle);
+        }
+        curl_multi_cleanup(multi);
+    }
+
+    implementation(const implementation&) = delete;
+    auto operator=(const implementation&) -> implementation& = delete;
+
+    auto post(command c) -> void {
+        auto wake = false;
+        {
+            std::scoped_lock guard{lock};
+            wake = commands.empty();
+            commands.push_back(std::move(c));
+        }
+        if (wake) {
+            curl_multi_wakeup(multi);
+        }
+    }
+
+    auto stop() -> void {
+        stopping = true;
+        curl_multi_wakeup(multi);
+        if (worker.joinable()) {
+            worker.join();
+        }
+    }
+
+    auto run() -> void {
+        while (!stopping) {
+            take_commands();
+            int active = 0;
+            curl_multi_perform(multi, &active);
+            finish_calls();
+            curl_multi_poll(multi, nullptr, 0, MAX_WAIT_MS, nullptr);
+        }
+    }
+
+    auto take_commands() -> void {
+        std::vector<command> taken;
+        {
+            std::scoped_lock guard{lock};
+            taken.swap(commands);
+        }
+        for (auto& item : taken) {
+            if (auto* started = std::get_if<std::unique_ptr<call>>(&item)) {
+                begin(std::move(*started));
+                continue;
+            }
+            auto found = handles.find(std::get<drop_command>(item).id);
+            if (found != handles.end()) {
+                release(found->second);
+            }
+        }
+    }
+
+    auto begin(std::unique_ptr<call> started) -> void {
+        auto* handle = take_handle();
+        started->headers = prepare(handle, started->request, started->sink);
+        curl_easy_setopt(handle, CURLOPT_FRESH_CONNECT, started->fresh_connection ? 1L : 0L);
+        handles[started->id] = handle;
+        calls[handle] = std::move(started);
+        ++call_count;
+        curl_multi_add_handle(multi, handle);
+    }
+
+    auto finish_calls() -> void {
+        int left = 0;
+        while (auto* message = curl_multi_info_read(multi, &left)) {
+            if (message->msg != CURLMSG_DONE) {
+                continue;
+            }
+            auto* handle = message->easy_handle;
+            auto code = message->data.result;
+            long opened = 0;
+            curl_easy_getinfo(handle, CURLINFO_NUM_CONNECTS, &opened);
+            connections_opened += static_cast<std::uint64_t>(opened);
+            auto result = finish_call(handle, code, calls.at(handle)->sink);
+            auto ended = release(handle);
+            ended->on_done(result);
+        }
+    }
+
+    auto release(CURL* handle) -> std::unique_ptr<call> {
+        auto found = calls.find(handle);
+        auto ended = std::move(found->second);
+        calls.erase(found);
+        handles.erase(ended->id);
+        curl_multi_remove_handle(multi, handle);
+        curl_easy_reset(handle);
+        idle_handles.push_back(handle);
+        return ended;
+    }
+
+    auto take_handle() -> CURL* {
+        if (idle_handles.empty()) {
+            return curl_easy_init();
+        }
+        auto* handle = idle_handles.back();
+        idle_handles.pop_back();
+        return handle;
+    }
+
+    CURLM* multi;
+    std::mutex lock;
+    std::vector<command> commands;
+    std::map<CURL*, std::unique_ptr<call>> calls;
+    std::map<call_id, CURL*> handles;
+    std::vector<CURL*> idle_handles;
+    std::atomic<bool> stopping{false};
+    std::atomic<std::uint64_t> connections_opened{0};
+    std::atomic<std::uint64_t> call_count{0};
+    std::atomic<std::uint64_t> next_id{1};
+    std::thread worker;
+};
+
+http_loop::http_loop() {
+    start_http_library();
+    impl_ = std::make_unique<implementation>();
+}
+
+http_loop::~http_loop() = default;
+
+auto http_loop::start(http_request request, bool fresh_connection, done on_done) -> call_id {
+    auto started = std::make_unique<call>();
+    started->id = call_id{impl_->next_id++};
+    started->request = std::move(request);
+    started->fresh_connection = fresh_connection;
+    started->on_done = std::move(on_done);
+    auto id = started->id;
+    impl_->post(std::move(started));
+    return id;
+}
+
+auto http_loop::drop(call_id call) -> void {
+    impl_->post(drop_command{call});
+}
+
+auto http_loop::counts() const -> statistics {
+    return {impl_->connections_opened, impl_->call_count};
+}
+
+auto http_loop::stop() -> void {
+    impl_->stop();
+}
+
+}  // namespace eelgrassledge
