--- /dev/null
+++ b/bench/scenarios.cpp
@@ -0,0 +1,409 @@
+// Policy benchmark in virtual time over the decision code. Each suite prints one row for each design or setting.
+
+#include <cxxopts.hpp>
+
+#include <algorithm>
+#include <cmath>
+#include <fmt/format.h>
+#include <iostream>
+
+#include <nlohmann/json.hpp>
+
+#include "fakes.hpp"
+
+namespace {
+
+using namespace eelgrassledge;
+using namespace eelgrassledge::bench;
+using nlohmann::json;
+
+struct bench_options {
+    std::string suite = "order";
+    std::uint64_t seeds = 3;
+    std::uint64_t queries = 6000;
+    bool as_json = false;
+};
+
+/// One setting, run with several seeds.
+struct row {
+    std::string service;
+    std::string setting;
+    double load = 0;
+    std::vector<outcome> runs;
+};
+
+auto label_desk() -> service_shape {
+    return {"label-desk", 20, 2, 2, 8, 0.3, 0.01, 8, 4};
+}
+auto trip_lookup() -> service_shape {
+    return {"trip-lookup", 20, 2, 2, 8, 0.3, 0.01, 8, 4};
+}
+auto ingredient_registry() -> service_shape {
+    return {"ingredient-registry", 1, 4, 6, 4, 0.3, 0.01, 8, 4};
+}
+auto logbook_view() -> service_shape {
+    return {"logbook-view", 1, 12, 3, 4, 0.3, 0.01, 8, 4};
+}
+
+struct spread {
+    double mean = 0;
+    double low = 0;
+    double high = 0;
+};
+
+template <class Measure>
+auto over_runs(const row& r, Measure measure) -> spread {
+    spread result;
+    result.low = 1e300;
+    result.high = -1e300;
+    for (const auto& run : r.runs) {
+        auto value = measure(run);
+        result.mean += value / static_cast<double>(r.runs.size());
+        result.low = std::min(result.low, value);
+        result.high = std::max(result.high, value);
+    }
+    return result;
+}
+
+auto share(std::uint64_t part, std::uint64_t whole) -> double {
+    return whole == 0 ? 0 : static_cast<double>(part) / static_cast<double>(whole);
+}
+
+auto refused_total(const outcome& o) -> std::uint64_t {
+    std::uint64_t total = 0;
+    for (const auto& [reason, count] : o.refused) {
+        total += count;
+    }
+    return total;
+}
+
+auto whole_per_s(const outcome& o) -> double {
+    return static_cast<double>(o.whole) / std::max(0.001, o.seconds_run);
+}
+
+auto row_json(const row& r) -> json {
+    auto value = [&](auto measure) {
+        auto s = over_runs(r, measure);
+        return json{{"mean", s.mean}, {"low", s.low}, {"high", s.high}};
+    };
+    std::map<std::string, std::uint64_t> refused;
+    std::map<std::string, std::uint64_t> notes;
+    for (const auto& run : r.runs) {
+        for (const auto& [reason, count] : run.refused) {
+            refused[reason] += count;
+        }
+        for (const auto& [reason, count] : run.notes) {
+            notes[reason] += count;
+        }
+    }
+    return {{"service", r.service},
+            {"setting", r.setting},
+            {"load", r.load},
+            {"seeds", r.runs.size()},
+            {"urgent_p50_ms", value([](const outcome& o) { return percentile(o.urgent_ms, 0.5); })},
+            {"urgent_p99_ms", value([](const outcome& o) { return percentile(o.urgent_ms, 0.99); })},
+            {"p50_ms", value([](const outcome& o) { return percentile(o.ordinary_ms, 0.5); })},
+            {"p99_ms", value([](const outcome& o) { return percentile(o.ordinary_ms, 0.99); })},
+            {"p999_ms", value([](const outcome& o) { return percentile(o.ordinary_ms, 0.999); })},
+            {"whole", value([](const outcome& o) { return share(o.whole, o.total); })},
+            {"urgent_whole", value([](const outcome& o) { return share(o.urgent_whole, o.urgent_total); })},
+            {"whole_per_s", value(whole_per_s)},
+            {"refused", value([](const outcome& o) { return share(refused_total(o), o.total); })},
+            {"refusal_p99_ms", value([](const outcome& o) { return percentile(o.refusal_ms, 0.99); })},
+            {"partial_coverage", value([](const outcome& o) { return o.partial ? o.partial_coverage / static_cast<double>(o.partial) : 1.0; })},
+            {"extra", value([](const outcome& o) { return share(o.sub_requests, o.sub_requests_needed); })},
+            {"cold_overloads", value([](const outcome& o) { return static_cast<double>(o.cold_overloads); })},
+            {"refused_by_reason", refused},
+            {"notes", notes}};
+}
+
+auto print_header() -> void {
+    std::cout << "| service | load | setting | urgent p50 / p99 ms | p50 / p99 / p99.9 ms | whole | whole/s | refused | "
+                 "coverage of partial | sent per needed | cold overloads |\n"
+                 "| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |\n";
+}
+
+auto print_row(const row& r, bool as_json) -> void {
+    auto page = row_json(r);
+    if (as_json) {
+        std::cout << page.dump() << "\n" << std::flush;
+        return;
+    }
+    auto mean = [&](const char* name) { return page[name]["mean"].get<double>(); };
+    auto range = [&](const char* name) {
+        return fmt::format("{:.0f} ({:.0f}-{:.0f})", mean(name), page[name]["low"].get<double>(),
+                           page[name]["high"].get<double>());
+    };
+    std::cout << fmt::format(
+        "| {} | {:.2f} | {} | {:.0f} / {} | {:.0f} / {} / {:.0f} | {:.3f} | {:.0f} | {:.3f} | {:.3f} | {:.3f} | {:.0f} |\n",
+        r.service, r.load, r.setting, mean("urgent_p50_ms"), range("urgent_p99_ms"), mean("p50_ms"), range("p99_ms"),
+        mean("p999_ms"), mean("whole"), mean("whole_per_s"), mean("refused"), mean("partial_coverage"), mean("extra"),
+        mean("cold_overloads")) << std::flush;
+}
+
+using change = std::function<void(world&)>;
+
+auto run_row(const bench_options& options, const std::string& setting, scenario what, const change& meanwhile = {})
+    -> row {
+    row result{what.shape.name, setting, what.load, {}};
+    for (std::uint64_t seed = 1; seed <= options.seeds; ++seed) {
+        what.seed = seed;
+        what.queries = what.queries == 0 ? options.queries : what.queries;
+        world w{what};
+        if (meanwhile) {
+            meanwhile(w);
+        }
+        result.runs.push_back(w.run());
+    }
+    return result;
+}
+
+auto base(const bench_options& options, const service_shape& shape) -> scenario {
+    scenario what;
+    what.shape = shape;
+    what.queries = options.queries;
+    return what;
+}
+
+/// 1: who orders the work at a searcher.
+auto suite_order(const bench_options& options) -> void {
+    for (const auto& shape : {label_desk(), ingredient_registry(), trip_lookup(), logbook_view()}) {
+        for (auto load : {0.5, 0.7, 0.85, 0.95, 1.1, 1.5}) {
+            auto what = base(options, shape);
+            what.load = load;
+            what.canary = false;
+            what.design = fan_out::direct;
+            what.entry.admission = admission_policy::none;
+            print_row(run_row(options, "direct", what), options.as_json);
+            what.entry.admission = admission_policy::expected_finish;
+            print_row(run_row(options, "direct, whole-query admission", what), options.as_json);
+            what.design = fan_out::broker;
+            what.entry.admission = admission_policy::none;
+            print_row(run_row(options, "brokers, no admission", what), options.as_json);
+            what.entry.admission = admission_policy::expected_finish;
+            print_row(run_row(options, "brokers, whole-query admission", what), options.as_json);
+            what.canary = true;
+            print_row(run_row(options, "the same with canary requests", what), options.as_json);
+        }
+    }
+}
+
+/// 2: how priority work obtains a slot.
+auto suite_lane(const bench_options& options) -> void {
+    for (const auto& shape : {label_desk(), logbook_view()}) {
+        for (auto policy : {lane_policy::head_of_queue, lane_policy::reserved_slot, lane_policy::preempt}) {
+            auto name = policy == lane_policy::head_of_queue   ? "head of queue"
+                        : policy == lane_policy::reserved_slot ? "reserved slot"
+                                                               : "preempt";
+            for (auto load : {0.0, 0.5, 1.0, 1.5}) {
+                auto what = base(options, shape);
+                what.lanes = policy;
+                what.load = load;
+                what.urgent_load = 0.02;
+                what.queries = options.queries * 2;
+                print_row(run_row(options, fmt::format("{}, urgent 0.02", name), what), options.as_json);
+            }
+            auto what = base(options, shape);
+            what.lanes = policy;
+            what.load = 1.5;
+            what.urgent_load = 0;
+            print_row(run_row(options, fmt::format("{}, no urgent work", name), what), options.as_json);
+        }
+    }
+}
+
+/// 3: hedges against stragglers.
+auto suite_stragglers(const bench_options& options) -> void {
+    struct setting {
+        const char* name;
+        hedge_policy policy;
+        duration delay;
+        double quantile;
+        bool only_sooner;
+    };
+    const std::vector<setting> settings{
+        {"no hedging", hedge_policy::none, {}, 0, false},
+        {"after 20 ms", hedge_policy::fixed_delay, milliseconds{20}, 0, false},
+        {"after 40 ms", hedge_policy::fixed_delay, milliseconds{40}, 0, false},
+        {"after the 0.95 quantile", hedge_policy::quantile, {}, 0.95, false},
+        {"after the 0.98 quantile", hedge_policy::quantile, {}, 0.98, false},
+        {"0.95 quantile, to a replica that finishes soon", hedge_policy::quantile, {}, 0.95, true},
+        {"0.98 quantile, to a replica that finishes soon", hedge_policy::quantile, {}, 0.98, true}};
+    for (auto load : {0.5, 0.7, 0.95, 1.1}) {
+        for (const auto& s : settings) {
+            auto what = base(options, label_desk());
+            what.load = load;
+            what.canary = false;
+            what.deadline = milliseconds{500};
+            what.entry.hedging = s.policy;
+            what.entry.fixed_hedge_delay = s.delay;
+            what.entry.hedge_quantile = s.quantile;
+            what.entry.hedge_only_to_sooner = s.only_sooner;
+            print_row(run_row(options, s.name, what), options.as_json);
+            auto slow = [](world& w) {
+                for (std::size_t i = 0; i < w.searchers().size(); i += 10) {
+                    w.searchers()[i]->set_slow(4);
+                }
+            };
+            print_row(run_row(options, fmt::format("{}; one searcher of each fifth shard four times slower", s.name), what, slow),
+                      options.as_json);
+        }
+    }
+}
+
+/// 4: goodput past capacity, with callers that come again.
+auto suite_overload(const bench_options& options) -> void {
+    for (const auto& shape : {label_desk(), ingredient_registry()}) {
+        for (auto load : {0.8, 1.0, 1.25, 1.5, 2.0}) {
+            for (std::uint32_t retries : {0U, 3U}) {
+                auto what = base(options, shape);
+                what.load = load;
+                what.queries = options.queries * 2;
+                what.caller_retries = retries;
+                print_row(run_row(options, fmt::format("refused queries come again {} times", retries), what),
+                          options.as_json);
+            }
+        }
+    }
+}
+
+/// Prints one run second by second.
+auto print_curve(const std::string& name, const outcome& o, bool as_json) -> void {
+    if (!as_json) {
+        std::cout << "\n" << name << "\n\n| second | queries | p99 ms | whole | coverage |\n| --- | --- | --- | --- | --- |\n";
+    }
+    for (const auto& [second, s] : o.by_second) {
+        auto p99 = percentile(s.ms, 0.99);
+        auto coverage = s.ms.empty() ? 0 : s.coverage / static_cast<double>(s.ms.size());
+        if (as_json) {
+            std::cout << json{{"curve", name}, {"second", second}, {"queries", s.queries}, {"p99_ms", p99},
+                              {"whole", share(s.whole, s.queries)}, {"coverage", coverage}}.dump() << "\n";
+        } else {
+            std::cout << fmt::format("| {} | {} | {:.0f} | {:.3f} | {:.4f} |\n", second, s.queries, p99,
+                                     share(s.whole, s.queries), coverage);
+        }
+    }
+    if (!as_json) {
+        std::cout << fmt::format("\ncold searchers given more than they bear: {} times\n", o.cold_overloads);
+    }
+}
+
+/// 5: a zone leaves at 5 s and returns at 15 s.
+auto suite_zone(const bench_options& options) -> void {
+    for (auto prefer : {preference::time, preference::coverage}) {
+        auto what = base(options, prefer == preference::time ? trip_lookup() : label_desk());
+        what.load = 0.35;
+        what.fixed_seconds = true;
+        what.seconds_to_run = 25;
+        what.prefer = prefer;
+        what.deadline = prefer == preference::time ? milliseconds{150} : milliseconds{1500};
+        auto planned = [](world& w) {
+            w.loop().at(time_point{seconds{6}}, [&w] { w.set_zone(1, false); });
+            w.loop().at(time_point{seconds{16}}, [&w] { w.set_zone(1, true); });
+        };
+        auto sudden = [](world& w) {
+            w.loop().at(time_point{seconds{6}}, [&w] { w.cut_zone(1, seconds{10}); });
+        };
+        for (const auto& [name, event] : {std::pair<std::string, change>{"planned", planned}, {"sudden cut", sudden}}) {
+            world w{what};
+            event(w);
+            print_curve(what.shape.name + ", " + name, w.run(), options.as_json);
+        }
+    }
+}
+
+/// 6: time until a cold searcher carries its full share.
+auto suite_cold(const bench_options& options) -> void {
+    for (auto load : {0.3, 0.5, 0.7}) {
+        auto what = base(options, label_desk());
+        what.load = load;
+        what.fixed_seconds = true;
+        what.seconds_to_run = 30;
+        what.deadline = milliseconds{500};
+        world w{what};
+        w.loop().at(time_point{seconds{3}}, [&w] { w.searchers()[0]->restart(seconds{1}); });
+        double warm_at = -1;
+        for (int i = 0; i < 3000; ++i) {
+            w.loop().at(time_point{seconds{4}} + milliseconds{10 * i}, [&w, &warm_at] {
+                if (warm_at < 0 && w.searchers()[0]->warm()) {
+                    warm_at = std::chrono::duration<double>(w.loop().now().time_since_epoch()).count() - 4;
+                }
+            });
+        }
+        auto result = w.run();
+        // Sending always at the rate it bears: the integral of requests over the rising rate.
+        const auto& ramp = what.warm_up;
+        auto least = static_cast<double>(ramp.requests) / (ramp.warm_rate_per_s - ramp.cold_rate_per_s) *
+                     std::log(ramp.warm_rate_per_s / ramp.cold_rate_per_s);
+        std::cout << json{{"suite", "cold"}, {"load", load}, {"warm_after_s", warm_at}, {"least_possible_s", least},
+                          {"cold_overloads", result.cold_overloads}, {"whole", share(result.whole, result.total)}}.dump()
+                  << "\n";
+    }
+}
+
+/// 7: a broker is killed; half of the searchers restart at once.
+auto suite_recovery(const bench_options& options) -> void {
+    auto what = base(options, label_desk());
+    what.load = 0.35;
+    what.fixed_seconds = true;
+    what.seconds_to_run = 20;
+    {
+        world w{what};
+        w.loop().at(time_point{seconds{6}}, [&w] { w.kill_broker(0, milliseconds{3500}); });
+        print_curve("broker killed at 5 s, successor acts 3.5 s later", w.run(), options.as_json);
+    }
+    {
+        world w{what};
+        w.loop().at(time_point{seconds{6}}, [&w] {
+            for (std::size_t i = 0; i < w.searchers().size(); i += 2) {
+                w.searchers()[i]->restart(seconds{1});
+            }
+        });
+        print_curve("one searcher of each shard restarts at 5 s", w.run(), options.as_json);
+    }
+    {
+        world w{what};
+        w.loop().at(time_point{seconds{6}}, [&w] {
+            for (std::size_t i = 0; i < w.searchers().size(); i += 4) {
+                w.searchers()[i]->restart(seconds{1});
+                w.searchers()[i + 1]->restart(seconds{1});
+            }
+        });
+        print_curve("both searchers of every second shard restart at 5 s", w.run(), options.as_json);
+    }
+}
+
+}  // namespace
+
+auto main(int argc, char** argv) -> int {
+    bench_options o;
+    cxxopts::Options options{"eelgrassledge-bench", "Policy benchmark in virtual time over the decision code."};
+    options.add_options()("suite", "order, lane, stragglers, overload, zone, cold or recovery", cxxopts::value(o.suite))(
+        "seeds", "runs of each row", cxxopts::value(o.seeds))("queries", "queries of each run", cxxopts::value(o.queries))(
+        "json", "one JSON object for each row", cxxopts::value(o.as_json))("h,help", "print this help and exit");
+    options.parse_positional({"suite"});
+    const std::map<std::string, std::function<void(const bench_options&)>> suites{
+        {"order", suite_order}, {"lane", suite_lane},   {"stragglers", suite_stragglers}, {"overload", suite_overload},
+        {"zone", suite_zone},   {"cold", suite_cold}, {"recovery", suite_recovery}};
+    try {
+        auto parsed = options.parse(argc, argv);
+        if (parsed.count("help") > 0) {
+            std::cout << options.help();
+            return 0;
+        }
+        auto suite = suites.find(o.suite);
+        if (suite == suites.end()) {
+            std::cerr << "error 501 bad_option: no suite " << o.suite << "\n";
+            return 2;
+        }
+        auto has_table = o.suite == "order" || o.suite == "lane" || o.suite == "stragglers" || o.suite == "overload";
+        if (has_table && !o.as_json) {
+            print_header();
+        }
+        suite->second(o);
+        return 0;
+    } catch (const cxxopts::exceptions::exception& e) {
+        std::cerr << "error 501 bad_option: " << e.what() << "\n";
+        return 2;
+    }
+}
