Adapt the admission margin to queries that come too late

Cause: with a fixed margin of 0.8 the entry admitted queries until the queues of brokers reached the deadline; with canary requests the work of admitted queries is not even in the queues yet when the next one is judged.

--- a/bench/scenarios.cpp
+++ b/bench/scenarios.cpp
@@ -22,6 +22,7 @@
     std::uint64_t seeds = 3;
     std::uint64_t queries = 6000;
     bool as_json = false;
+    std::string service;  ///< Only this one; empty: all.
 };
 
 /// One setting, run with several seeds.
@@ -168,6 +169,9 @@
 /// 1: who orders the work at a searcher.
 auto suite_order(const bench_options& options) -> void {
     for (const auto& shape : {label_desk(), ingredient_registry(), trip_lookup(), logbook_view()}) {
+        if (!options.service.empty() && options.service != shape.name) {
+            continue;
+        }
         for (auto load : {0.5, 0.7, 0.85, 0.95, 1.1, 1.5}) {
             auto what = base(options, shape);
             what.load = load;
@@ -380,7 +384,7 @@
     cxxopts::Options options{"eelgrassledge-bench", "Policy benchmark in virtual time over the decision code."};
     options.add_options()("suite", "order, lane, stragglers, overload, zone, cold or recovery", cxxopts::value(o.suite))(
         "seeds", "runs of each row", cxxopts::value(o.seeds))("queries", "queries of each run", cxxopts::value(o.queries))(
-        "json", "one JSON object for each row", cxxopts::value(o.as_json))("h,help", "print this help and exit");
+        "json", "one JSON object for each row", cxxopts::value(o.as_json))("service", "only this service (suite order)", cxxopts::value(o.service))("h,help", "print this help and exit");
     options.parse_positional({"suite"});
     const std::map<std::string, std::function<void(const bench_options&)>> suites{
         {"order", suite_order}, {"lane", suite_lane},   {"stragglers", suite_stragglers}, {"overload", suite_overload},
--- a/include/eelgrassledge/entry/entry_service.hpp
+++ b/include/eelgrassledge/entry/entry_service.hpp
@@ -12,6 +12,7 @@
 #include <variant>
 #include <vector>
 
+#include "eelgrassledge/entry/admission_control.hpp"
 #include "eelgrassledge/entry/search.hpp"
 #include "eelgrassledge/entry/service_view.hpp"
 #include "eelgrassledge/entry/token_bucket.hpp"
@@ -38,7 +39,6 @@
     duration fixed_hedge_delay = milliseconds{40};
     bool hedge_only_to_sooner = true;  ///< Skips a hedge whose replica is not expected to finish soon.
     admission_policy admission = admission_policy::expected_finish;
-    double admission_margin = 0.8;  ///< Share of the remaining time that the slowest shard may be expected to take.
 };
 
 /// Sends a sub-request to the broker of its upstream.
@@ -208,6 +208,7 @@
     number_source numbers_;
     service_view view_;
     extra_load_budget budget_;
+    admission_control admission_;
     std::map<query_id, query> queries_;
     std::unordered_map<sub_request_id, place> places_;
     std::set<std::pair<time_point, query_id>> wakeups_;
--- a/src/entry/entry_service.cpp
+++ b/src/entry/entry_service.cpp
@@ -126,7 +126,7 @@
         return std::nullopt;
     }
     auto allowed = duration{static_cast<duration::rep>(static_cast<double>((request.deadline - now).count()) *
-                                                       policy_.admission_margin)};
+                                                       admission_.margin())};
     duration slowest{0};
     for (std::uint32_t i = 0; i < snapshot.shard_count; ++i) {
         auto finish = view_.best_finish(snapshot.snapshot, shard_index{i}, request.priority, now);
@@ -568,6 +568,7 @@
         auto& q = queries_.at(id);
         q.wakeup = time_point::max();
         if (now >= sub_deadline(q)) {
+            admission_.answered_late();
             finish(q, q.answered > 0 ? result_code::ok : result_code::deadline_passed, out);
             continue;
         }
@@ -657,6 +658,9 @@
     } else if (answer.code == result_code::deadline_passed && !q.any_may_have_run) {
         answer.state = run_state::not_run;
     }
+    if (answer.complete()) {
+        admission_.answered_whole();
+    }
     wakeups_.erase({q.wakeup, q.id});
     out.push_back(reply_action{q.id, std::move(answer)});
     queries_.erase(q.id);
