Queue canary requests ahead of ordinary work

Cause: a canary request waits in the queue like any other, then the rest of its query waits again. Change: brokers rank canary requests first within their lane. Ruled out: no canary requests (one request that crashes searchers would take a whole service down).

--- a/src/broker/upstream_broker.cpp
+++ b/src/broker/upstream_broker.cpp
@@ -22,6 +22,8 @@
 constexpr duration UNREACHABLE_PAUSE = milliseconds{250};
 /// How long a sub-request whose deadline has passed may keep its connection.
 constexpr duration LATE_ANSWER_GRACE = milliseconds{500};
+/// Canary requests are queued as if they had started this much earlier: all of their query waits for them.
+constexpr duration CANARY_HEAD_START = seconds{60};
 /// Number of strikes at which a fingerprint is not run again.
 constexpr std::uint32_t STRIKES_TO_QUARANTINE = 2;
 
@@ -96,7 +98,8 @@
 auto upstream_broker::enqueue(sub_request request) -> void {
     queued_deadlines_.insert({request.deadline, request.key});
     auto& target = request.priority == lane::priority ? priority_ : ordinary_;
-    target.emplace(queue_rank{request.start, request.query, request.key}, std::move(request));
+    auto start = request.canary ? request.start - CANARY_HEAD_START : request.start;
+    target.emplace(queue_rank{start, request.query, request.key}, std::move(request));
 }
 
 auto upstream_broker::submit(sub_request request, time_point now) -> broker_actions {
