Hedge after three medians of recent running times, to any replica

Cause: the delay came from the 0.95 quantile and hedges went only to replicas expected to finish soon. Change: delay of 3 medians, any replica that can finish before the deadline, budget 5% as before.

--- a/bench/scenarios.cpp
+++ b/bench/scenarios.cpp
@@ -20,7 +20,7 @@
 struct bench_options {
     std::string suite = "order";
     std::uint64_t seeds = 3;
-    std::uint64_t queries = 6000;
+    double run_s = 12;
     bool as_json = false;
     std::string service;  ///< Only this one; empty: all.
 };
@@ -149,7 +149,6 @@
     row result{what.shape.name, setting, what.load, {}};
     for (std::uint64_t seed = 1; seed <= options.seeds; ++seed) {
         what.seed = seed;
-        what.queries = what.queries == 0 ? options.queries : what.queries;
         world w{what};
         if (meanwhile) {
             meanwhile(w);
@@ -162,7 +161,8 @@
 auto base(const bench_options& options, const service_shape& shape) -> scenario {
     scenario what;
     what.shape = shape;
-    what.queries = options.queries;
+    what.fixed_seconds = true;
+    what.seconds_to_run = options.run_s;
     return what;
 }
 
@@ -204,7 +204,6 @@
                 what.lanes = policy;
                 what.load = load;
                 what.urgent_load = 0.02;
-                what.queries = options.queries * 2;
                 print_row(run_row(options, fmt::format("{}, urgent 0.02", name), what), options.as_json);
             }
             auto what = base(options, shape);
@@ -232,7 +231,10 @@
         {"after the 0.95 quantile", hedge_policy::quantile, {}, 0.95, false},
         {"after the 0.98 quantile", hedge_policy::quantile, {}, 0.98, false},
         {"0.95 quantile, to a replica that finishes soon", hedge_policy::quantile, {}, 0.95, true},
-        {"0.98 quantile, to a replica that finishes soon", hedge_policy::quantile, {}, 0.98, true}};
+        {"0.98 quantile, to a replica that finishes soon", hedge_policy::quantile, {}, 0.98, true},
+        {"after 2 medians", hedge_policy::median_factor, {}, 2, false},
+        {"after 2.5 medians", hedge_policy::median_factor, {}, 2.5, false},
+        {"after 3 medians", hedge_policy::median_factor, {}, 3, false}};
     for (auto load : {0.5, 0.7, 0.95, 1.1}) {
         for (const auto& s : settings) {
             auto what = base(options, label_desk());
@@ -242,6 +244,7 @@
             what.entry.hedging = s.policy;
             what.entry.fixed_hedge_delay = s.delay;
             what.entry.hedge_quantile = s.quantile;
+            what.entry.hedge_median_factor = s.quantile;
             what.entry.hedge_only_to_sooner = s.only_sooner;
             print_row(run_row(options, s.name, what), options.as_json);
             auto slow = [](world& w) {
@@ -262,7 +265,6 @@
             for (std::uint32_t retries : {0U, 3U}) {
                 auto what = base(options, shape);
                 what.load = load;
-                what.queries = options.queries * 2;
                 what.caller_retries = retries;
                 print_row(run_row(options, fmt::format("refused queries come again {} times", retries), what),
                           options.as_json);
@@ -327,7 +329,7 @@
         world w{what};
         w.loop().at(time_point{seconds{3}}, [&w] { w.searchers()[0]->restart(seconds{1}); });
         double warm_at = -1;
-        for (int i = 0; i < 3000; ++i) {
+        for (int i = 1; i < 3000; ++i) {
             w.loop().at(time_point{seconds{4}} + milliseconds{10 * i}, [&w, &warm_at] {
                 if (warm_at < 0 && w.searchers()[0]->warm()) {
                     warm_at = std::chrono::duration<double>(w.loop().now().time_since_epoch()).count() - 4;
@@ -383,7 +385,7 @@
     bench_options o;
     cxxopts::Options options{"eelgrassledge-bench", "Policy benchmark in virtual time over the decision code."};
     options.add_options()("suite", "order, lane, stragglers, overload, zone, cold or recovery", cxxopts::value(o.suite))(
-        "seeds", "runs of each row", cxxopts::value(o.seeds))("queries", "queries of each run", cxxopts::value(o.queries))(
+        "seeds", "runs of each row", cxxopts::value(o.seeds))("run-s", "virtual seconds of each run", cxxopts::value(o.run_s))(
         "json", "one JSON object for each row", cxxopts::value(o.as_json))("service", "only this service (suite order)", cxxopts::value(o.service))("h,help", "print this help and exit");
     options.parse_positional({"suite"});
     const std::map<std::string, std::function<void(const bench_options&)>> suites{
--- a/include/eelgrassledge/entry/entry_service.hpp
+++ b/include/eelgrassledge/entry/entry_service.hpp
@@ -24,6 +24,7 @@
     none,
     fixed_delay,   ///< After a fixed running time at the upstream.
     quantile,      ///< After a quantile of recent running times at the upstreams of the service.
+    median_factor,  ///< After a multiple of the median of recent running times.
 };
 
 /// Which whole queries are refused at once.
@@ -34,10 +35,11 @@
 
 /// Choices of an entry that the document does not hold.
 struct entry_policy {
-    hedge_policy hedging = hedge_policy::quantile;
-    double hedge_quantile = 0.95;
+    hedge_policy hedging = hedge_policy::median_factor;
+    double hedge_quantile = 0.98;
+    double hedge_median_factor = 3;
     duration fixed_hedge_delay = milliseconds{40};
-    bool hedge_only_to_sooner = true;  ///< Skips a hedge whose replica is not expected to finish soon.
+    bool hedge_only_to_sooner = false;  ///< Skips a hedge whose replica is not expected to finish soon.
     admission_policy admission = admission_policy::expected_finish;
 };
 
--- a/src/entry/entry_service.cpp
+++ b/src/entry/entry_service.cpp
@@ -248,10 +248,18 @@
         case hedge_policy::fixed_delay:
             return policy_.fixed_hedge_delay;
         case hedge_policy::quantile:
+        case hedge_policy::median_factor:
             break;
     }
     const auto& times = view_.service_times();
-    return times.samples() < MIN_SAMPLES ? DEFAULT_SLOW_AFTER : times.quantile(policy_.hedge_quantile);
+    if (times.samples() < MIN_SAMPLES) {
+        return DEFAULT_SLOW_AFTER;
+    }
+    if (policy_.hedging == hedge_policy::quantile) {
+        return times.quantile(policy_.hedge_quantile);
+    }
+    auto median = static_cast<double>(times.quantile(0.5).count());
+    return duration{static_cast<duration::rep>(median * policy_.hedge_median_factor)};
 }
 
 auto entry_service::send_shard(query& q, shard_index shard, bool extra, time_point now, entry_actions& out) -> bool {
