--- a/src/entry/entry_service.cpp
+++ b/src/entry/entry_service.cpp
@@ -619,6 +619,10 @@
         return;
     }
     auto& q = found->second;
+    if (q.request.strikes >= STRIKES_TO_QUARANTINE) {
+        finish(q, q.any_may_have_run ? result_code::crashed_upstreams : result_code::quarantined, out);
+        return;
+    }
     if (q.canary && q.shards[q.canary->value()].given_up) {
         auto lost = *q.canary;
         q.canary = choose_canary(q, now);
@@ -632,11 +636,6 @@
     if (q.settled < q.shards.size()) {
         return;
     }
-    auto quarantined = q.request.strikes >= STRIKES_TO_QUARANTINE;
-    if (quarantined) {
-        finish(q, q.any_may_have_run ? result_code::crashed_upstreams : result_code::quarantined, out);
-        return;
-    }
     finish(q, q.answered > 0 ? result_code::ok : result_code::deadline_passed, out);
 }
 
