--- a/bench/fakes.hpp
+++ b/bench/fakes.hpp
@@ -157,6 +157,7 @@
     auto kill_broker(std::uint32_t instance, duration take_over) -> void;
 
     [[nodiscard]] auto zone_of(std::size_t searcher) const -> std::uint32_t;
+    [[nodiscard]] auto broker_load(std::size_t index) const -> upstream_load { return brokers_[index].broker->load(); }
 
   private:
     struct entry_state {
@@ -168,6 +169,7 @@
         std::size_t searcher = 0;
         std::uint32_t instance = 0;
         bool alive = true;
+        std::optional<time_point> armed;
     };
     struct caller {
         bool urgent = false;
--- a/include/eelgrassledge/broker/sub_request.hpp
+++ b/include/eelgrassledge/broker/sub_request.hpp
@@ -39,6 +39,7 @@
     duration slow_after{0};     ///< Running time after which the entry is told; zero means never.
     bool canary = false;        ///< Runs before the rest of its query to find requests that crash upstreams.
     std::uint32_t strikes = 0;  ///< Upstreams that vanished while they ran a request with this fingerprint.
+    bool patient = false;       ///< Waits for a cold upstream however long, for want of another replica.
     request_id request;
     std::string text;
     std::uint32_t limit = 10;
@@ -70,6 +71,7 @@
     duration service_time{0};           ///< Smoothed running time of one sub-request.
     bool admitting = true;              ///< Whether new sub-requests are taken.
     bool warm = true;
+    double rate_per_s = 0;  ///< Sub-requests per second that a cold upstream is given.
     std::vector<holding> holdings;
 };
 
--- a/include/eelgrassledge/broker/upstream_broker.hpp
+++ b/include/eelgrassledge/broker/upstream_broker.hpp
@@ -101,8 +101,10 @@
     /// Changes the limits; running work is not cut.
     auto configure(const upstream_limits& limits) -> void;
 
-    /// Takes a sub-request into the queue or answers it with a refusal.
-    auto submit(sub_request request, time_point now) -> broker_actions;
+    /// Takes a sub-request into the queue or answers it with a refusal. `known_strikes` is how many upstreams
+    /// are known here to have vanished while they ran its fingerprint; an entry that knows of fewer is told
+    /// before anything is sent.
+    auto submit(sub_request request, time_point now, std::uint32_t known_strikes = 0) -> broker_actions;
 
     /// Forgets a queued sub-request; aborts a running one.
     auto cancel(const sub_key& key, time_point now) -> broker_actions;
@@ -154,6 +156,7 @@
     using request_queue = std::map<queue_rank, sub_request>;
 
     auto refusal_for(const sub_request& request, time_point now) const -> std::optional<result_code>;
+    [[nodiscard]] auto cold_wait(time_point now) const -> duration;
     auto refuse(const sub_request& request, result_code code) -> answer_action;
     auto flush(result_code code, broker_actions& out) -> void;
     auto flush_fingerprint(fingerprint print, std::uint32_t strikes, broker_actions& out) -> void;
--- a/include/eelgrassledge/entry/entry_service.hpp
+++ b/include/eelgrassledge/entry/entry_service.hpp
@@ -147,6 +147,7 @@
         bool answered = false;
         bool given_up = false;
         bool may_have_run = false;
+        bool patient = false;
         std::uint32_t tries = 0;
         std::vector<attempt> open;
         std::vector<upstream_id> tried;
@@ -200,6 +201,7 @@
     auto finish_if_settled(query_id id, time_point now, entry_actions& out) -> void;
     auto finish(query& q, result_code code, entry_actions& out) -> void;
     auto wake_at(query& q, time_point at) -> void;
+    [[nodiscard]] auto is_late_by_load(const query& q, time_point now) const -> bool;
     auto act_on_due_shards(query& q, time_point now, entry_actions& out) -> void;
     [[nodiscard]] auto slow_after() const -> duration;
     auto remember_cleared(fingerprint print) -> void;
--- a/include/eelgrassledge/entry/service_view.hpp
+++ b/include/eelgrassledge/entry/service_view.hpp
@@ -47,6 +47,15 @@
     /// Avoids an upstream for a time, unless there is no other replica.
     auto avoid(const upstream_id& upstream, time_point until) -> void;
 
+    /// Avoids all upstreams of a broker for a time, or until it has another one or one of them answers.
+    auto avoid_broker(const instance_id& broker, time_point until) -> void;
+
+    /// Avoids an upstream whose broker did not answer in time.
+    auto avoid_silent(const upstream_id& upstream, time_point until) -> void;
+
+    /// Ends the avoidance of an upstream.
+    auto answered_well(const upstream_id& upstream) -> void;
+
     /// The newest snapshot among those with the most shards held by an upstream that takes work;
     /// empty when no holding is known. Linear in upstreams times snapshots held.
     [[nodiscard]] auto choose_snapshot() const -> std::optional<snapshot_choice>;
@@ -61,10 +70,14 @@
     /// Time until an upstream would finish one more sub-request of a lane.
     [[nodiscard]] auto expected_finish(const upstream_id& upstream, lane priority, time_point now) const -> duration;
 
-    /// The least expected finish among the replicas of a shard; empty when there is none.
-    [[nodiscard]] auto best_finish(snapshot_id snapshot, shard_index shard, lane priority, time_point now) const
+    /// The least time that a sub-request would wait for a slot among the warm replicas of a shard that take
+    /// work; empty when there is none.
+    [[nodiscard]] auto least_wait(snapshot_id snapshot, shard_index shard, lane priority, time_point now) const
         -> std::optional<duration>;
 
+    /// Whether the broker of an upstream was lost or silent lately.
+    [[nodiscard]] auto broker_is_avoided(const upstream_id& upstream, time_point now) const -> bool;
+
     [[nodiscard]] auto broker_of(const upstream_id& upstream) const -> instance_id;
 
     /// Running times seen in answers.
@@ -83,8 +96,10 @@
         time_point load_at{};
         std::uint32_t sent_since_load = 0;
         time_point avoid_until{};
+        time_point avoid_broker_until{};
     };
 
+    [[nodiscard]] auto service_time_of(const upstream_entry& entry) const -> duration;
     [[nodiscard]] auto usable(const upstream_entry& entry) const -> bool;
     [[nodiscard]] auto expected_finish(const upstream_entry& entry, lane priority, time_point now) const -> duration;
     [[nodiscard]] auto choose_snapshot(std::optional<snapshot_id> newer_than) const
--- a/include/eelgrassledge/runtime/broker_runtime.hpp
+++ b/include/eelgrassledge/runtime/broker_runtime.hpp
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "eelgrassledge/broker/suspect_table.hpp"
 #include "eelgrassledge/membership/zone_coordinator.hpp"
 #include "eelgrassledge/output/metrics.hpp"
 #include "eelgrassledge/peer/peer_network.hpp"
@@ -49,6 +50,9 @@
     };
     auto set_ownership(const std::vector<ownership>& owned) -> void;
 
+    /// Takes over what other daemons know of suspect requests.
+    auto learn_suspects(const std::vector<suspect_report>& reports) -> void;
+
     /// Polls the status of the upstreams owned.
     auto poll_statuses() -> void;
 
@@ -85,6 +89,7 @@
     event_log log_;
     mutable std::shared_mutex lock_;
     std::map<upstream_id, std::shared_ptr<upstream_shard>> shards_;
+    suspect_table suspects_;
     mutable std::mutex keys_lock_;
     std::map<sub_key, upstream_id> upstream_by_key_;
     upstream_client client_;
--- a/schema/peer.capnp
+++ b/schema/peer.capnp
@@ -20,6 +20,7 @@
   warm @6 :Bool;
   holdings @7 :List(Holding);
   queuedPriority @8 :UInt32;
+  ratePerS @9 :Float64;
 }
 
 struct Hit {
@@ -46,6 +47,7 @@
   text @14 :Text;
   limit @15 :UInt32;
   strikes @16 :UInt32;
+  patient @17 :Bool;
 }
 
 struct SubAnswer {
--- a/src/broker/upstream_broker.cpp
+++ b/src/broker/upstream_broker.cpp
@@ -22,6 +22,8 @@
 constexpr duration UNREACHABLE_PAUSE = milliseconds{250};
 /// How long a sub-request whose deadline has passed may keep its connection.
 constexpr duration LATE_ANSWER_GRACE = milliseconds{500};
+/// Work that could go to another replica waits no longer than this for an upstream that warms up.
+constexpr duration COLD_WAIT_LIMIT = milliseconds{30};
 /// Canary requests are queued as if they had started this much earlier: all of their query waits for them.
 constexpr duration CANARY_HEAD_START = seconds{60};
 /// Number of strikes at which a fingerprint is not run again.
@@ -92,9 +94,22 @@
     if (queued() >= limits_.queue_limit) {
         return result_code::queue_full;
     }
+    if (!request.patient && cold_wait(now) > COLD_WAIT_LIMIT) {
+        return result_code::upstream_cold;
+    }
     return std::nullopt;
 }
 
+auto upstream_broker::cold_wait(time_point now) const -> duration {
+    if (ramp_.current() == warmth::warm) {
+        return duration{0};
+    }
+    auto spacing = 1e6 / ramp_.rate_per_s();
+    auto behind_others = duration{static_cast<duration::rep>(spacing * static_cast<double>(queued()))};
+    auto until_next = ramp_.next_send_time(now).value_or(now) - now;
+    return behind_others + until_next;
+}
+
 auto upstream_broker::enqueue(sub_request request) -> void {
     queued_deadlines_.insert({request.deadline, request.key});
     auto& target = request.priority == lane::priority ? priority_ : ordinary_;
@@ -102,11 +117,14 @@
     target.emplace(queue_rank{start, request.query, request.key}, std::move(request));
 }
 
-auto upstream_broker::submit(sub_request request, time_point now) -> broker_actions {
+auto upstream_broker::submit(sub_request request, time_point now, std::uint32_t known_strikes) -> broker_actions {
     broker_actions out;
-    auto known = strikes_here_.find(request.print);
-    if (known != strikes_here_.end()) {
-        request.strikes = std::max(request.strikes, known->second);
+    auto here = strikes_here_.find(request.print);
+    auto known = std::max(known_strikes, here == strikes_here_.end() ? 0 : here->second);
+    if (known > request.strikes) {
+        request.strikes = known;
+        out.push_back(refuse(request, result_code::suspect_request));
+        return out;
     }
     if (auto code = refusal_for(request, now)) {
         out.push_back(refuse(request, *code));
@@ -562,6 +580,7 @@
     load.service_time = service_time_;
     load.admitting = authority_.owned && !leaving_listed_ && !leaving_told_ && back_off_ == duration{0};
     load.warm = ramp_.current() == warmth::warm;
+    load.rate_per_s = load.warm ? 0 : ramp_.rate_per_s();
     load.holdings = holdings_;
     return load;
 }
--- a/src/entry/entry_service.cpp
+++ b/src/entry/entry_service.cpp
@@ -18,6 +18,10 @@
 constexpr std::uint32_t TRIES_FOR_COVERAGE = 8;
 /// How long an upstream that failed is avoided while it has other replicas.
 constexpr duration AVOID_AFTER_FAILURE = milliseconds{300};
+/// How long an upstream that had too much to warm up with is avoided.
+constexpr duration AVOID_WHILE_COLD = milliseconds{20};
+/// How long the upstreams of a broker that is lost or silent are avoided.
+constexpr duration AVOID_BROKER = milliseconds{2000};
 /// Times a query may start over on a newer snapshot.
 constexpr std::uint32_t MAX_RESTARTS = 2;
 /// Strikes at which a fingerprint is refused.
@@ -52,6 +56,7 @@
         case result_code::no_authority:
         case result_code::upstream_leaving:
         case result_code::wrong_snapshot:
+        case result_code::upstream_cold:
             return true;
         default:
             return false;
@@ -127,12 +132,12 @@
     }
     auto allowed = duration{static_cast<duration::rep>(static_cast<double>((request.deadline - now).count()) *
                                                        admission_.margin())};
-    duration slowest{0};
+    duration longest{0};
     for (std::uint32_t i = 0; i < snapshot.shard_count; ++i) {
-        auto finish = view_.best_finish(snapshot.snapshot, shard_index{i}, request.priority, now);
-        slowest = std::max(slowest, finish.value_or(duration{0}));
+        auto wait = view_.least_wait(snapshot.snapshot, shard_index{i}, request.priority, now);
+        longest = std::max(longest, wait.value_or(duration{0}));
     }
-    return slowest > allowed ? std::optional{slowest - allowed} : std::nullopt;
+    return longest > allowed ? std::optional{longest - allowed} : std::nullopt;
 }
 
 auto entry_service::submit(search_request request, time_point now) -> submitted {
@@ -209,10 +214,10 @@
 auto entry_service::canary_replicas(const query& q, shard_index shard, time_point now) const
     -> std::vector<upstream_id> {
     auto names = view_.replicas(q.snapshot.snapshot, shard, q.request.priority, now);
-    auto rank = [&q](const upstream_id& name) {
+    auto rank = [&](const upstream_id& name) {
         std::size_t seed = q.request.print.value();
         boost::hash_combine(seed, name.value());
-        return seed;
+        return std::pair{view_.broker_is_avoided(name, now), seed};
     };
     std::ranges::sort(names, {}, rank);
     const auto& tried = q.shards[shard.value()].tried;
@@ -292,6 +297,7 @@
     sub.request = q.request.request;
     sub.text = q.request.text;
     sub.limit = q.request.limit;
+    sub.patient = state.patient;
     auto broker = view_.broker_of(upstream);
     auto finish = view_.expected_finish(upstream, q.request.priority, now);
     state.open.push_back({sub.key.id, upstream, broker, now, extra});
@@ -314,6 +320,7 @@
     entry_actions out;
     view_.record_load(answer.load, now);
     if (answer.code == result_code::ok) {
+        view_.answered_well(answer.load.upstream);
         view_.service_times().add(answer.service_time);
     }
     auto place_found = places_.find(answer.key.id);
@@ -394,7 +401,9 @@
     state.may_have_run = state.may_have_run || ran;
     q.any_may_have_run = q.any_may_have_run || ran;
     state.last = answer.code;
-    if (answer.code != result_code::queue_expired && answer.code != result_code::suspect_request) {
+    if (answer.code == result_code::upstream_cold) {
+        view_.avoid(upstream, now + AVOID_WHILE_COLD);
+    } else if (answer.code != result_code::queue_expired && answer.code != result_code::suspect_request) {
         view_.avoid(upstream, now + AVOID_AFTER_FAILURE);
     }
     if (state.answered || state.given_up) {
@@ -426,7 +435,7 @@
         q.settled = q.shards.size();
         return true;
     }
-    if (q.canary != shard || !q.request.idempotent) {
+    if (q.canary != shard || (!q.request.idempotent && may_have_run(answer.code))) {
         return false;
     }
     if (send_shard(q, shard, false, now, out)) {
@@ -462,6 +471,12 @@
         send_attempt(q, shard, *untried, true, now, out);
         return;
     }
+    if (code == result_code::upstream_cold && !state.patient) {
+        state.patient = true;
+        state.tried.clear();
+        send_shard(q, shard, true, now, out);
+        return;
+    }
     ++state.tries;
     state.retry_at = now + FIRST_RETRY_PAUSE * (1U << std::min(state.tries, 6U));
     wake_at(q, *state.retry_at);
@@ -537,6 +552,7 @@
 }
 
 auto entry_service::broker_lost(const instance_id& broker, time_point now) -> entry_actions {
+    view_.avoid_broker(broker, now + AVOID_BROKER);
     std::vector<sub_answer> lost;
     for (const auto& [id, q] : queries_) {
         for (std::uint32_t i = 0; i < q.shards.size(); ++i) {
@@ -576,7 +592,9 @@
         auto& q = queries_.at(id);
         q.wakeup = time_point::max();
         if (now >= sub_deadline(q)) {
-            admission_.answered_late();
+            if (is_late_by_load(q, now)) {
+                admission_.answered_late();
+            }
             finish(q, q.answered > 0 ? result_code::ok : result_code::deadline_passed, out);
             continue;
         }
@@ -587,6 +605,16 @@
     return out;
 }
 
+auto entry_service::is_late_by_load(const query& q, time_point now) const -> bool {
+    for (std::uint32_t i = 0; i < q.shards.size(); ++i) {
+        auto waits = !q.shards[i].answered && !q.shards[i].open.empty();
+        if (waits && view_.least_wait(q.snapshot.snapshot, shard_index{i}, q.request.priority, now)) {
+            return true;
+        }
+    }
+    return false;
+}
+
 auto entry_service::act_on_due_shards(query& q, time_point now, entry_actions& out) -> void {
     for (std::uint32_t i = 0; i < q.shards.size(); ++i) {
         auto shard = shard_index{i};
@@ -599,6 +627,9 @@
         }
         if (q.shards[i].silent_at && *q.shards[i].silent_at <= now) {
             q.shards[i].silent_at.reset();
+            for (const auto& open : q.shards[i].open) {
+                view_.avoid_silent(open.upstream, now + AVOID_BROKER);
+            }
             hedge(q, shard, now, out);
         }
         for (auto at : {q.shards[i].retry_at, q.shards[i].silent_at}) {
@@ -623,6 +654,10 @@
         finish(q, q.any_may_have_run ? result_code::crashed_upstreams : result_code::quarantined, out);
         return;
     }
+    if (q.canary && q.shards[q.canary->value()].given_up && q.request.strikes > 0) {
+        finish(q, q.any_may_have_run ? result_code::crashed_upstreams : result_code::suspect_request, out);
+        return;
+    }
     if (q.canary && q.shards[q.canary->value()].given_up) {
         auto lost = *q.canary;
         q.canary = choose_canary(q, now);
--- a/src/entry/service_view.cpp
+++ b/src/entry/service_view.cpp
@@ -31,6 +31,7 @@
         }
         if (entry.route.broker != route.broker) {
             entry.avoid_until = time_point{};
+            entry.avoid_broker_until = time_point{};
             entry.load.admitting = true;
         }
         entry.route = route;
@@ -88,6 +89,31 @@
     }
 }
 
+auto service_view::avoid_broker(const instance_id& broker, time_point until) -> void {
+    for (auto& [name, entry] : upstreams_) {
+        if (entry.route.broker == broker) {
+            entry.avoid_until = std::max(entry.avoid_until, until);
+            entry.avoid_broker_until = std::max(entry.avoid_broker_until, until);
+        }
+    }
+}
+
+auto service_view::avoid_silent(const upstream_id& upstream, time_point until) -> void {
+    auto found = upstreams_.find(upstream);
+    if (found != upstreams_.end()) {
+        found->second.avoid_until = std::max(found->second.avoid_until, until);
+        found->second.avoid_broker_until = std::max(found->second.avoid_broker_until, until);
+    }
+}
+
+auto service_view::answered_well(const upstream_id& upstream) -> void {
+    auto found = upstreams_.find(upstream);
+    if (found != upstreams_.end()) {
+        found->second.avoid_until = time_point{};
+        found->second.avoid_broker_until = time_point{};
+    }
+}
+
 auto service_view::choose_snapshot() const -> std::optional<snapshot_choice> {
     return choose_snapshot(std::nullopt);
 }
@@ -142,11 +168,15 @@
     return found == upstreams_.end() ? AVOIDED_PENALTY : expected_finish(found->second, priority, now);
 }
 
-auto service_view::expected_finish(const upstream_entry& entry, lane priority, time_point now) const -> duration {
-    auto service_time = entry.load.service_time;
-    if (service_time == duration{0}) {
-        service_time = service_times_.samples() > 0 ? service_times_.mean() : UNKNOWN_SERVICE_TIME;
+auto service_view::service_time_of(const upstream_entry& entry) const -> duration {
+    if (entry.load.service_time > duration{0}) {
+        return entry.load.service_time;
     }
+    return service_times_.samples() > 0 ? service_times_.mean() : UNKNOWN_SERVICE_TIME;
+}
+
+auto service_view::expected_finish(const upstream_entry& entry, lane priority, time_point now) const -> duration {
+    auto service_time = service_time_of(entry);
     auto slots = std::max(1U, entry.load.slots);
     auto age = std::clamp(now - entry.load_at, duration{0}, LOAD_FORGOTTEN_AFTER);
     auto fresh = 1.0 - static_cast<double>(age.count()) / static_cast<double>(LOAD_FORGOTTEN_AFTER.count());
@@ -155,13 +185,21 @@
     auto ahead = fresh * (waiting + running) + entry.sent_since_load;
     auto rounds = 1.0 + std::max(0.0, ahead - (slots - 1.0)) / slots;
     auto finish = duration{static_cast<duration::rep>(rounds * static_cast<double>(service_time.count()))};
+    if (!entry.load.warm && entry.load.rate_per_s > 0) {
+        finish += duration{static_cast<duration::rep>(fresh * entry.load.queued * 1e6 / entry.load.rate_per_s)};
+    }
     if (!entry.load.admitting || entry.avoid_until > now) {
         finish += AVOIDED_PENALTY;
     }
     return finish;
 }
 
-auto service_view::best_finish(snapshot_id snapshot, shard_index shard, lane priority, time_point now) const
+auto service_view::broker_is_avoided(const upstream_id& upstream, time_point now) const -> bool {
+    auto found = upstreams_.find(upstream);
+    return found == upstreams_.end() || found->second.avoid_broker_until > now;
+}
+
+auto service_view::least_wait(snapshot_id snapshot, shard_index shard, lane priority, time_point now) const
     -> std::optional<duration> {
     auto shards = by_shard_.find(snapshot);
     if (shards == by_shard_.end() || shard.value() >= shards->second.size()) {
@@ -169,9 +207,9 @@
     }
     std::optional<duration> best;
     for (const auto* entry : shards->second[shard.value()]) {
-        if (usable(*entry) && entry->load.admitting && entry->avoid_until <= now) {
-            auto finish = expected_finish(*entry, priority, now);
-            best = best ? std::min(*best, finish) : finish;
+        if (usable(*entry) && entry->load.warm && entry->load.admitting && entry->avoid_until <= now) {
+            auto wait = expected_finish(*entry, priority, now) - service_time_of(*entry);
+            best = best ? std::min(*best, wait) : wait;
         }
     }
     return best;
--- a/src/peer/wire_conversions.cpp
+++ b/src/peer/wire_conversions.cpp
@@ -152,6 +152,7 @@
     to.setServiceTimeUs(to_wire_us(from.service_time));
     to.setAdmitting(from.admitting);
     to.setWarm(from.warm);
+    to.setRatePerS(from.rate_per_s);
     fill_list(
         from.holdings, [&](unsigned n) { return to.initHoldings(n); },
         [](const holding& held, auto& list, unsigned i) {
@@ -171,6 +172,7 @@
     to.service_time = duration{from.getServiceTimeUs()};
     to.admitting = from.getAdmitting();
     to.warm = from.getWarm();
+    to.rate_per_s = from.getRatePerS();
     for (auto held : from.getHoldings()) {
         to.holdings.push_back({snapshot_id{held.getSnapshot()}, shard_index{held.getShard()}, held.getShardCount()});
     }
@@ -192,6 +194,7 @@
     to.setSlowAfterUs(to_wire_us(from.slow_after));
     to.setCanary(from.canary);
     to.setStrikes(from.strikes);
+    to.setPatient(from.patient);
     to.setRequest(from.request.value());
     to.setText(from.text);
     to.setLimit(from.limit);
@@ -213,6 +216,7 @@
     to.slow_after = duration{from.getSlowAfterUs()};
     to.canary = from.getCanary();
     to.strikes = from.getStrikes();
+    to.patient = from.getPatient();
     to.request = request_id{text_of(from.getRequest())};
     to.text = text_of(from.getText());
     to.limit = from.getLimit();
--- a/src/runtime/application.cpp
+++ b/src/runtime/application.cpp
@@ -250,6 +250,7 @@
         log_(log_level::info, "configuration", {{"revision", std::to_string(version->number.value())}});
         metrics_.set("eelgrassledge_revision_in_force", {}, static_cast<double>(version->number.value()));
     }
+    broker_->learn_suspects(suspects);
     entry_->configure(*version->parsed, assignments, suspects);
     renew_ownership();
     auto out = !version->parsed->zone_is_in(settings_.zone) || !version->parsed->instance_is_in(settings_.instance);
--- a/src/runtime/broker_runtime.cpp
+++ b/src/runtime/broker_runtime.cpp
@@ -115,7 +115,10 @@
         std::scoped_lock guard{keys_lock_};
         upstream_by_key_[request.key] = request.upstream;
     }
-    handle(shard, [&](upstream_broker& broker, time_point now) { return broker.submit(std::move(request), now); });
+    auto strikes = suspects_.strikes(request.print);
+    handle(shard, [&](upstream_broker& broker, time_point now) {
+        return broker.submit(std::move(request), now, strikes);
+    });
 }
 
 auto broker_runtime::cancel(const sub_key& key) -> void {
@@ -166,6 +169,7 @@
                            {{"connection", aborted->close_connection ? "closed" : "kept"}});
             client_.abort(address_of(*shard), *aborted);
         } else if (auto* strike = std::get_if<strike_action>(&action)) {
+            suspects_.set(strike->print, strike->strikes);
             hooks_.on_strike(strike->print, strike->strikes);
         }
     }
@@ -237,6 +241,12 @@
     }
 }
 
+auto broker_runtime::learn_suspects(const std::vector<suspect_report>& reports) -> void {
+    for (const auto& suspect : reports) {
+        suspects_.set(suspect.print, suspect.strikes);
+    }
+}
+
 auto broker_runtime::poll_statuses() -> void {
     for (const auto& shard : all()) {
         if (!shard->owned) {
--- a/tests/unit/entry_service.cpp
+++ b/tests/unit/entry_service.cpp
@@ -235,6 +235,41 @@
     }
 }
 
+TEST_CASE("admission recovers after every query was late") {
+    // Regression: the margin fell until the running time of an idle service alone was too much, and every query was
+    // refused for ever (found by the policy benchmark, suite recovery, issue 5).
+    entry_bench e;
+    for (int i = 0; i < 200; ++i) {
+        e.submit(e.request(std::to_string(i)));
+        e.take_sent();
+        e.advance_to((i + 1) * 200);
+    }
+    e.replies.clear();
+    e.hold(0, 0, {1});
+    e.hold(1, 0, {1});
+    e.now += seconds{1};
+    e.submit(e.request("after"));
+    CHECK(e.replies.empty());
+    CHECK(e.take_sent().size() == 2);
+}
+
+TEST_CASE("a shard whose replicas all warm up is waited for") {
+    entry_bench e{1, 2};
+    e.submit(e.request());
+    auto first = e.take_sent();
+    e.answer(first.at(0), result_code::upstream_cold);
+    auto second = e.take_sent();
+    REQUIRE(second.size() == 1);
+    CHECK(second[0].upstream != first[0].upstream);
+    CHECK_FALSE(second[0].patient);
+    e.answer(second[0], result_code::upstream_cold);
+    auto third = e.take_sent();
+    REQUIRE(third.size() == 1);
+    CHECK(third[0].patient);
+    e.answer(third[0]);
+    CHECK(e.replies.at(0).complete());
+}
+
 TEST_CASE("a request not seen before") {
     entry_bench e{3, 2, true};
     e.submit(e.request());
