Never let the HTTP library send a request twice; clear suspects that ran alone

Cause: process-crash printed 'fallen(c) <= 2: 4 <= 2'. A connection that died under a request was used again by the library for a retry of its own on a new connection, and when that was refused the request was reported as never sent: a false 'not run', and no strike for the request that had crashed the searcher. Then an innocent request stayed suspect at brokers that never heard of its success ('is_whole(1, innocent)' false for 15 s). Change: bodies are given by a read function without a way to rewind, and a call whose body was offered is never reported as unsent; a suspect that is answered clears its strikes at the broker and by gossip; an entry told of a strike asks the same upstream again, alone. Ruled out: fresh connections for all requests (6 ms each).

--- a/src/broker/upstream_broker.cpp
+++ b/src/broker/upstream_broker.cpp
@@ -236,6 +236,9 @@
                             ? took
                             : (service_time_ * (SERVICE_TIME_WEIGHT - 1) + took) / SERVICE_TIME_WEIGHT;
         back_off_ = duration{0};
+        if (ended.request.strikes > 0) {
+            out.push_back(strike_action{ended.request.print, 0, true});
+        }
     } else if (outcome.code == result_code::upstream_shedding) {
         ramp_.strained(now);
         back_off(now);
--- a/src/entry/entry_service.cpp
+++ b/src/entry/entry_service.cpp
@@ -366,7 +366,6 @@
     q.hits.insert(q.hits.end(), answer.hits.begin(), answer.hits.end());
     if (q.canary == shard) {
         q.canary.reset();
-        q.request.strikes = 0;
         suspects_.erase(q.request.print);
         remember_cleared(q.request.print);
         fan_out(q, now, out);
@@ -409,9 +408,14 @@
     if (state.answered || state.given_up) {
         return;
     }
+    auto news = answer.code == result_code::suspect_request && answer.strikes > q.request.strikes;
     if (answer.strikes > 0 && fail_canary(q, shard, answer, now, out)) {
         return;
     }
+    if (news && state.open.empty() && state.tries < TRIES_FOR_TIME) {
+        send_attempt(q, shard, upstream, true, now, out);
+        return;
+    }
     if (!state.open.empty()) {
         return;
     }
@@ -425,7 +429,7 @@
 auto entry_service::fail_canary(query& q, shard_index shard, const sub_answer& answer, time_point now,
                                 entry_actions& out) -> bool {
     q.request.strikes = std::max(q.request.strikes, answer.strikes);
-    suspect(q.request.print, q.request.strikes);
+    suspects_[q.request.print] = q.request.strikes;
     if (q.request.strikes >= STRIKES_TO_QUARANTINE) {
         withdraw_all(q, out);
         for (auto& state : q.shards) {
--- a/src/transport/curl_request.hpp
+++ b/src/transport/curl_request.hpp
@@ -13,8 +13,10 @@
 };
 using header_list = std::unique_ptr<curl_slist, slist_deleter>;
 
-/// Receives the response of one call.
+/// Gives the body of one call and receives its response.
 struct response_sink {
+    std::string_view body_left;
+    bool body_offered = false;  ///< Whether any of the body may have been sent.
     http_response response;
     std::size_t limit = 0;
     const std::function<bool(std::string_view)>* on_line = nullptr;
--- a/tests/unit/upstream_broker.cpp
+++ b/tests/unit/upstream_broker.cpp
@@ -314,6 +314,16 @@
         CHECK(answer.code == result_code::suspect_request);
         CHECK(answer.strikes == 1);
     }
+    SECTION("are cleared when one runs alone and is answered") {
+        broker_bench other;
+        other.make_warm();
+        auto suspect = other.request(11);
+        suspect.strikes = 1;
+        other.submit(suspect);
+        other.finish(11);
+        REQUIRE(other.count<strike_action>() == 1);
+        CHECK(std::get<strike_action>(other.actions[1]).strikes == 0);
+    }
     SECTION("are refused at the second strike") {
         auto again = b.request(8);
         again.strikes = 2;
