--- a/include/eelgrassledge/config/settings.hpp
+++ b/include/eelgrassledge/config/settings.hpp
@@ -28,7 +28,7 @@
     bool broker = true;
     std::uint32_t max_body_bytes = 65536;
     duration stop_grace = milliseconds{10000};
-    duration lease_ttl = seconds{5};
+    duration lease_ttl = seconds{3};
     std::string admin_token_sha256;  ///< Accepted besides the document's operators; empty for none.
 };
 
--- a/include/eelgrassledge/membership/zone_coordinator.hpp
+++ b/include/eelgrassledge/membership/zone_coordinator.hpp
@@ -17,7 +17,7 @@
 
 /// Times of the membership protocol. Every grant ends before the reporter's lease does.
 struct coordinator_times {
-    duration lease_ttl = seconds{5};
+    duration lease_ttl = seconds{3};
     duration sync_interval = milliseconds{500};
     duration grant = milliseconds{1500};           ///< Authority given to a member with each sync.
     duration member_timeout = milliseconds{2500};  ///< Silence after which a member is taken for dead.
--- a/model/ownership.pml
+++ b/model/ownership.pml
@@ -1,19 +1,31 @@
 /* Who may send to a cold upstream: a reporter elected by a lease in the platform's store, its grants of authority,
- * the stored assignment, hand-over and lapse while paused. Times are ticks of one clock; a process that is paused
- * simply makes no step while the clock goes on. A write to the store and its answer are separate steps, and the
- * answer may be lost. Each NO_... macro removes one guard; the check must then fail. */
+ * the stored assignment, hand-over and lapse while paused. Times are ticks of one clock. A process that is paused makes
+ * no step while the clock goes on. A call takes at most DELAY ticks between its request and its effect, and any time
+ * until its answer is used. Each NO_... or ..._FROM_ANSWER macro removes one guard; the check must then fail. */
 
+#ifndef LEASE
 #define LEASE 2
+#endif
+#ifndef GRANT
 #define GRANT 1
-#define MAX_TIME 5
-#define MAX_EPOCH 3
+#endif
+#ifndef DELAY
+#define DELAY 1
+#endif
+#ifndef MAX_TIME
+#define MAX_TIME 6
+#endif
+#ifndef MAX_EPOCH
+#define MAX_EPOCH 2
+#endif
 
-byte now = 0;
+byte now = DELAY;
 bool store_up = true;
 byte outages = 0;
 byte revocations = 0;
+byte lapses = 0;
 
-/* The store. */
+/* The store: the lease on the reporter's key, and the assignment with its epoch. */
 byte holder = 0;
 byte lease_end = 0;
 byte owner = 1;
@@ -23,7 +35,7 @@
 bool alive[3] = true;
 bool reporter[3] = false;
 byte lease_until[3] = 0;
-byte became[3] = 0;
+byte became = 0;         /* when the newest reporter began */
 byte read_epoch[3] = 0;
 byte grant_until[3] = 0;
 byte known_epoch[3] = 0;
@@ -31,9 +43,8 @@
 bool withheld[3] = false;
 bool busy[3] = false;
 
-/* What a reporter remembers of the grants it gave, and of the owner that has not yet let go. */
-byte given_1 = 0;
-byte given_2 = 0;
+/* What the reporter remembers of the grants it gave, and of the owner that has not yet let go. */
+byte given[3] = 0;
 byte releasing = 0;
 
 /* The cold upstream: who sent last, and until when that work may go on. */
@@ -41,31 +52,23 @@
 byte last_until = 0;
 bool served_by_successor = false;
 
-#define GIVEN(j) (j == 1 -> given_1 : given_2)
 #define MIN(a, b) (a < b -> a : b)
 #define MAX(a, b) (a > b -> a : b)
 
 #ifdef NO_SETTLE
-#define SETTLED(i) true
+#define SETTLED true
 #else
-#define SETTLED(i) (now >= became[i] + GRANT)
+#define SETTLED (now >= became + LEASE)
 #endif
 
 #ifdef NO_LEASE_BOUND
-#define GRANT_END(i) (now + GRANT)
-#define MAY_GRANT(i) (reporter[i] && SETTLED(i))
+#define LENGTH(i) GRANT
+#define MAY_GRANT(i) (reporter[i] && SETTLED && read_epoch[i] == epoch)
 #else
-#define GRANT_END(i) (MIN(now + GRANT, lease_until[i]))
-#define MAY_GRANT(i) (reporter[i] && now < lease_until[i] && SETTLED(i))
+#define LENGTH(i) (MIN(GRANT, lease_until[i] - now))
+#define MAY_GRANT(i) (reporter[i] && now < lease_until[i] && SETTLED && read_epoch[i] == epoch)
 #endif
 
-inline set_given(j, value) {
-    if
-    :: j == 1 -> given_1 = MAX(given_1, value)
-    :: else -> given_2 = MAX(given_2, value)
-    fi
-}
-
 active proctype clock() {
     do
     :: atomic {
@@ -84,115 +87,87 @@
     :: atomic { outages < 1 && store_up -> store_up = false; outages++ }
     :: atomic { !store_up -> store_up = true }
     :: atomic { alive[1] -> alive[1] = false }
+    /* The store loses a lease before its time. */
+    :: atomic { lapses < 1 && holder != 0 -> holder = 0; lapses++ }
     :: now >= MAX_TIME -> break
     od
 }
 
-/* Elections: the deadline of a lease counts from before the call that opened or renewed it. */
-proctype control(byte i) {
-    byte sent;
-    do
-    :: atomic { alive[i] && !reporter[i] && store_up && holder == 0 -> sent = now };
-       if
-       :: atomic { store_up && holder == 0 ->
-              holder = i;
-              lease_end = now + LEASE };
-          /* The answer arrives, or is lost and the key is read back: either way the node learns that it holds it. */
-          if
-          :: atomic { alive[i] && holder == i ->
-                 reporter[i] = true;
-                 became[i] = now;
-                 read_epoch[i] = epoch;
-                 releasing = 0;
-#ifdef LEASE_FROM_ANSWER
-                 lease_until[i] = now + LEASE;
-#else
-                 lease_until[i] = sent + LEASE;
-#endif
-                 given_1 = 0; given_2 = 0;
-                 sent = 0 }
-          :: atomic { holder != i -> sent = 0 }
-          fi
-       :: atomic { holder != 0 || !store_up -> sent = 0 }
-       fi
-    :: atomic { alive[i] && reporter[i] && store_up && holder == i -> sent = now };
-       if
-       :: atomic { holder == i && store_up -> lease_end = now + LEASE };
-          atomic {
+/* The deadline of a lease counts from before the call that opened or renewed it. When the answer to the call was lost,
+ * the node finds itself in the key when it reads it back; the deadline counts from the same call. */
+inline confirm_lease(i) {
 #ifdef LEASE_FROM_ANSWER
-              lease_until[i] = now + LEASE;
+    lease_until[i] = now + LEASE
 #else
-              lease_until[i] = MAX(lease_until[i], sent + LEASE);
+    if
+    :: lease_until[i] = MAX(lease_until[i], lease_end - DELAY)
+    :: lease_until[i] = MAX(lease_until[i], lease_end)
+    fi
 #endif
-              sent = 0 }
-       :: atomic { holder != i || !store_up -> sent = 0 }
-       fi
-    :: atomic { reporter[i] && store_up && holder != i -> reporter[i] = false }
+}
+
+proctype control(byte i) {
+    do
+    :: atomic { alive[i] && store_up && holder == 0 && !reporter[i] ->
+           holder = i;
+           lease_end = now + LEASE }
+    :: atomic { alive[i] && store_up && holder == i && !reporter[i] ->
+           reporter[i] = true;
+           lease_until[i] = 0;
+           confirm_lease(i);
+           became = now;
+           read_epoch[i] = epoch;
+           releasing = 0;
+           given[1] = 0;
+           given[2] = 0 }
+    :: atomic { alive[i] && reporter[i] && store_up && holder == i ->
+           lease_end = now + LEASE;
+           confirm_lease(i) }
+    :: atomic { reporter[i] && store_up && holder != i -> reporter[i] = false; lease_until[i] = 0 }
     /* A planned stop gives the lease back while grants are still in force. */
-    :: atomic { reporter[i] && store_up && holder == i && revocations < 1 ->
+    :: atomic { alive[i] && reporter[i] && store_up && holder == i && revocations < 1 ->
            holder = 0;
            reporter[i] = false;
+           lease_until[i] = 0;
            revocations++ }
     /* The reporter moves the upstream to the other node, by compare-and-swap on the epoch it has read. */
-    :: atomic { reporter[i] && alive[i] && store_up && now < lease_until[i] && SETTLED(i) && releasing == 0 &&
-#ifndef NO_COMPARE
-                read_epoch[i] == epoch &&
-#endif
-                epoch < MAX_EPOCH ->
+    :: atomic { alive[i] && reporter[i] && store_up && now < lease_until[i] && SETTLED && releasing == 0 &&
+                read_epoch[i] == epoch && epoch < MAX_EPOCH ->
            releasing = owner;
            owner = 3 - owner;
            epoch++;
            read_epoch[i] = epoch }
-    :: atomic { reporter[i] && releasing != 0 &&
-                (GIVEN(releasing) <= now ||
-                 (known_epoch[releasing] == epoch && !busy[releasing])) -> releasing = 0 }
+    /* The previous owner has let go: its authority has run out, or it knows the new epoch and nothing of its runs. */
+    :: atomic { reporter[i] && read_epoch[i] == epoch && releasing != 0 &&
+                (given[releasing] <= now || (known_epoch[releasing] == epoch && !busy[releasing])) -> releasing = 0 }
     :: now >= MAX_TIME -> break
     od
 }
 
-/* A member asks the reporter for authority; its grant counts from before it asked. */
-proctype member(byte j) {
-    byte sent;
-    byte length;
-    byte r;
-    byte reply_epoch;
-    byte reply_owner;
-    bool reply_withheld;
-    do
-    :: atomic { alive[j] && now < MAX_TIME -> sent = now };
-       if
-       :: atomic { alive[1] && MAY_GRANT(1) -> r = 1 }
-       :: atomic { alive[2] && MAY_GRANT(2) -> r = 2 }
-       :: r = 0
-       fi;
-       if
-       :: atomic { r != 0 && MAY_GRANT(r) && read_epoch[r] == epoch ->
-              length = GRANT_END(r) - now;
-              set_given(j, now + length);
-              reply_epoch = epoch;
-              reply_owner = owner;
+/* A member asks the reporter for authority; the grant counts from before it asked. */
+inline take_grant(j, i) {
+    given[j] = MAX(given[j], now + LENGTH(i));
+    known_epoch[j] = epoch;
+    known_owner[j] = owner;
 #ifdef NO_WITHHOLD
-              reply_withheld = false;
+    withheld[j] = false;
 #else
-              reply_withheld = (owner == j && releasing != 0);
+    withheld[j] = (owner == j && releasing != 0);
 #endif
-              };
-          atomic {
-              if
-              :: alive[j] && reply_epoch >= known_epoch[j] ->
-                 known_epoch[j] = reply_epoch;
-                 known_owner[j] = reply_owner;
-                 withheld[j] = reply_withheld;
 #ifdef GRANT_FROM_ANSWER
-                 grant_until[j] = now + length;
+    grant_until[j] = now + LENGTH(i) + DELAY
 #else
-                 grant_until[j] = MAX(grant_until[j], sent + length);
+    if
+    :: grant_until[j] = MAX(grant_until[j], now + LENGTH(i))
+    :: grant_until[j] = MAX(grant_until[j], now + LENGTH(i) - DELAY)
+    fi
 #endif
-              :: else
-              fi }
-       :: else
-       fi;
-       atomic { sent = 0; length = 0; r = 0; reply_epoch = 0; reply_owner = 0; reply_withheld = false }
+}
+
+proctype member(byte j) {
+    do
+    :: atomic { alive[j] && alive[1] && MAY_GRANT(1) -> take_grant(j, 1) }
+    :: atomic { alive[j] && alive[2] && MAY_GRANT(2) -> take_grant(j, 2) }
     :: now >= MAX_TIME -> break
     od
 }
--- a/schema/settings.capnp
+++ b/schema/settings.capnp
@@ -19,6 +19,6 @@
   broker @8 :Bool = true;
   maxBodyBytes @9 :UInt32 = 65536 $Ini.atLeast(256) $Ini.atMost(16777216);
   stopGraceMs @10 :UInt32 = 10000 $Ini.atLeast(100) $Ini.atMost(600000);
-  leaseTtlS @11 :UInt32 = 5 $Ini.atLeast(3) $Ini.atMost(60);
+  leaseTtlS @11 :UInt32 = 3 $Ini.atLeast(2) $Ini.atMost(60);
   adminTokenSha256 @12 :Text = "" $Ini.expects("sha256 or empty");
 }
--- a/src/membership/zone_coordinator.cpp
+++ b/src/membership/zone_coordinator.cpp
@@ -36,8 +36,9 @@
     return role_ == role::reporter && now < lease_until_;
 }
 
+// A new reporter waits until its predecessor's authority has run out even if the store ended that lease early.
 auto zone_coordinator::settled(time_point now) const -> bool {
-    return now >= became_reporter_ + times_.grant + times_.clock_margin;
+    return now >= became_reporter_ + times_.lease_ttl + times_.clock_margin;
 }
 
 auto zone_coordinator::grant_for(time_point now) const -> duration {
--- a/tests/support/cluster.cpp
+++ b/tests/support/cluster.cpp
@@ -179,7 +179,7 @@
         one.command = {binary("daemon/eelgrassledged"), "--set", "instance=" + one.name, "--set", "zone=" + one.zone,
                        "--set", "http_address=" + one.http, "--set", "peer_address=" + one.peer, "--set",
                        "platform_address=" + platform_address, "--set", "seed_peers=" + daemons.front().peer, "--set",
-                       "admin_token_sha256=" + sha256_hex("operator-token"), "--set", "lease_ttl_s=3"};
+                       "admin_token_sha256=" + sha256_hex("operator-token")};
         for (const auto& setting : plan_.daemon_settings) {
             one.command.emplace_back("--set");
             one.command.push_back(setting);
