--- a/bench/fakes.hpp
+++ b/bench/fakes.hpp
@@ -104,7 +104,9 @@
     [[nodiscard]] auto running() const -> std::size_t { return running_.size(); }
     [[nodiscard]] auto overloads() const -> std::uint64_t { return overloads_; }
     [[nodiscard]] auto runs() const -> std::uint64_t { return runs_; }
-    [[nodiscard]] auto warm() const -> bool { return completed_ >= static_cast<double>(what_.warm_up.requests); }
+    [[nodiscard]] auto warm() const -> bool {
+        return completed_ >= static_cast<double>(what_.warm_up.requests);
+    }
 
   private:
     struct item {
@@ -157,7 +159,9 @@
     auto kill_broker(std::uint32_t instance, duration take_over) -> void;
 
     [[nodiscard]] auto zone_of(std::size_t searcher) const -> std::uint32_t;
-    [[nodiscard]] auto broker_load(std::size_t index) const -> upstream_load { return brokers_[index].broker->load(); }
+    [[nodiscard]] auto broker_load(std::size_t index) const -> upstream_load {
+        return brokers_[index].broker->load();
+    }
 
   private:
     struct entry_state {
@@ -190,7 +194,9 @@
     auto on_reply(std::uint32_t entry, const reply_action& reply) -> void;
     [[nodiscard]] auto broker_index(std::uint32_t entry, const upstream_id& upstream) const -> std::size_t;
     [[nodiscard]] auto hop(std::uint32_t zone_a, std::uint32_t zone_b) -> duration;
-    [[nodiscard]] auto entry_zone(std::uint32_t entry) const -> std::uint32_t { return entry % what_.shape.zones; }
+    [[nodiscard]] auto entry_zone(std::uint32_t entry) const -> std::uint32_t {
+        return entry % what_.shape.zones;
+    }
     [[nodiscard]] auto authority() const -> send_authority;
 
     scenario what_;
--- a/daemon/http_server.cpp
+++ b/daemon/http_server.cpp
@@ -1,9 +1,9 @@
 #include "http_server.hpp"
 
-#include <restinio/all.hpp>
-
 #include <fmt/format.h>
 
+#include <restinio/all.hpp>
+
 namespace eelgrassledge {
 
 namespace {
@@ -26,8 +26,9 @@
 
 auto to_api_request(const restinio::request_handle_t& request) -> api_request {
     auto path = request->header().path();
-    return {std::string{request->header().method().c_str()}, std::string{path.data(), path.size()}, request->body(),
-            request->header().get_field_or("X-Caller-Key", std::string{}), bearer_of(request)};
+    return {std::string{request->header().method().c_str()}, std::string{path.data(), path.size()},
+            request->body(), request->header().get_field_or("X-Caller-Key", std::string{}),
+            bearer_of(request)};
 }
 
 auto reason_of(int status) -> std::string {
@@ -36,7 +37,8 @@
 
 auto send(const restinio::request_handle_t& request, const api_response& response) -> void {
     auto out = request->create_response(restinio::http_status_line_t{
-        restinio::http_status_code_t{static_cast<std::uint16_t>(response.status)}, reason_of(response.status)});
+        restinio::http_status_code_t{static_cast<std::uint16_t>(response.status)},
+        reason_of(response.status)});
     out.append_header(restinio::http_field::content_type, response.content_type);
     if (response.retry_after) {
         auto whole_seconds = std::max<std::int64_t>(1, (response.retry_after->count() + 999'999) / 1'000'000);
@@ -71,21 +73,22 @@
                       .max_field_count(64)
                       .max_url_size(2048);
     auto handle_request = [this](const restinio::request_handle_t& request) {
-        impl_->on_request(to_api_request(request), [request](const api_response& response) { send(request, response); });
+        impl_->on_request(to_api_request(request),
+                          [request](const api_response& response) { send(request, response); });
         return restinio::request_accepted();
     };
     try {
-        impl_->server = restinio::run_async<server_traits>(
-            restinio::own_io_context(),
-            restinio::server_settings_t<server_traits>{}
-                .address(address.substr(0, colon))
-                .port(port)
-                .request_handler(handle_request)
-                .incoming_http_msg_limits(limits)
-                .max_parallel_connections(impl_->limits.max_connections)
-                .read_next_http_message_timelimit(KEEP_ALIVE)
-                .handle_request_timeout(HANDLE_TIMEOUT),
-            impl_->limits.threads);
+        impl_->server =
+            restinio::run_async<server_traits>(restinio::own_io_context(),
+                                               restinio::server_settings_t<server_traits>{}
+                                                   .address(address.substr(0, colon))
+                                                   .port(port)
+                                                   .request_handler(handle_request)
+                                                   .incoming_http_msg_limits(limits)
+                                                   .max_parallel_connections(impl_->limits.max_connections)
+                                                   .read_next_http_message_timelimit(KEEP_ALIVE)
+                                                   .handle_request_timeout(HANDLE_TIMEOUT),
+                                               impl_->limits.threads);
     } catch (const std::exception& e) {
         return fail(result_code::cannot_listen, fmt::format("{}: {}", address, e.what()));
     }
--- a/daemon/main.cpp
+++ b/daemon/main.cpp
@@ -1,6 +1,5 @@
-#include <cxxopts.hpp>
-
 #include <csignal>
+#include <cxxopts.hpp>
 #include <fstream>
 #include <iostream>
 #include <sstream>
@@ -21,13 +20,14 @@
 constexpr std::size_t MAX_ADMIN_BODY_BYTES = std::size_t{2} << 20U;
 
 auto make_options() -> cxxopts::Options {
-    cxxopts::Options options{"eelgrassledged", "Daemon of the eelgrassledge query tier: entry and broker.\n"
-                                               "Exit codes: 0 stopped, 2 command line, 3 settings, 4 cannot listen, "
-                                               "5 stopped before all work was finished."};
+    cxxopts::Options options{"eelgrassledged",
+                             "Daemon of the eelgrassledge query tier: entry and broker.\n"
+                             "Exit codes: 0 stopped, 2 command line, 3 settings, 4 cannot listen, "
+                             "5 stopped before all work was finished."};
     options.add_options()("s,settings", "INI file with the section [daemon]", cxxopts::value<std::string>())(
         "set", "KEY=VALUE that replaces a key of the settings; may be repeated",
-        cxxopts::value<std::vector<std::string>>()->default_value({}))("version", "print the version and exit")(
-        "h,help", "print this help and exit");
+        cxxopts::value<std::vector<std::string>>()->default_value({}))(
+        "version", "print the version and exit")("h,help", "print this help and exit");
     return options;
 }
 
--- a/include/eelgrassledge/broker/sub_request.hpp
+++ b/include/eelgrassledge/broker/sub_request.hpp
@@ -31,8 +31,8 @@
     service_id service;
     lane priority = lane::ordinary;
     bool idempotent = true;
-    time_point start;           ///< When the entry accepted the query; orders queues everywhere.
-    time_point deadline;        ///< No part of the sub-request may run after this time.
+    time_point start;     ///< When the entry accepted the query; orders queues everywhere.
+    time_point deadline;  ///< No part of the sub-request may run after this time.
     fingerprint print;
     snapshot_id snapshot;
     shard_index shard;
@@ -67,9 +67,9 @@
     std::uint32_t queued = 0;           ///< Sub-requests waiting, both lanes.
     std::uint32_t queued_priority = 0;  ///< Sub-requests waiting in the priority lane.
     std::uint32_t running = 0;
-    std::uint32_t slots = 0;            ///< Sub-requests that may run at once now.
-    duration service_time{0};           ///< Smoothed running time of one sub-request.
-    bool admitting = true;              ///< Whether new sub-requests are taken.
+    std::uint32_t slots = 0;   ///< Sub-requests that may run at once now.
+    duration service_time{0};  ///< Smoothed running time of one sub-request.
+    bool admitting = true;     ///< Whether new sub-requests are taken.
     bool warm = true;
     double rate_per_s = 0;  ///< Sub-requests per second that a cold upstream is given.
     std::vector<holding> holdings;
--- a/include/eelgrassledge/config/document.hpp
+++ b/include/eelgrassledge/config/document.hpp
@@ -5,14 +5,13 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <tl/expected.hpp>
 #include <vector>
 
 #include "eelgrassledge/config/ini_reader.hpp"
 #include "eelgrassledge/core/ids.hpp"
 #include "eelgrassledge/core/time.hpp"
 
-#include <tl/expected.hpp>
-
 namespace eelgrassledge {
 
 /// Whether a zone or an instance takes work.
--- a/include/eelgrassledge/config/document_writer.hpp
+++ b/include/eelgrassledge/config/document_writer.hpp
@@ -21,9 +21,10 @@
 /// Why a change was not accepted, or the new version.
 struct change_outcome {
     result_code code = result_code::ok;
-    std::vector<ini_fault> faults;                  ///< With `invalid_document`.
-    std::vector<document_difference> differences;   ///< With `revision_conflict`: what is current against the change.
-    document_version version;                       ///< With `ok`, the new one; with `revision_conflict`, the current one.
+    std::vector<ini_fault> faults;  ///< With `invalid_document`.
+    std::vector<document_difference>
+        differences;           ///< With `revision_conflict`: what is current against the change.
+    document_version version;  ///< With `ok`, the new one; with `revision_conflict`, the current one.
     std::string message;
 };
 
--- a/include/eelgrassledge/config/ini_reader.hpp
+++ b/include/eelgrassledge/config/ini_reader.hpp
@@ -4,7 +4,6 @@
 #include <string_view>
 #include <vector>
 
-
 namespace eelgrassledge {
 
 /// One `key = value` line of an INI text.
--- a/include/eelgrassledge/config/settings.hpp
+++ b/include/eelgrassledge/config/settings.hpp
@@ -3,14 +3,13 @@
 #include <cstdint>
 #include <string>
 #include <string_view>
+#include <tl/expected.hpp>
 #include <vector>
 
 #include "eelgrassledge/config/ini_reader.hpp"
 #include "eelgrassledge/core/ids.hpp"
 #include "eelgrassledge/core/time.hpp"
 
-#include <tl/expected.hpp>
-
 namespace eelgrassledge {
 
 enum class log_level : std::uint8_t { debug, info, warning, error };
--- a/include/eelgrassledge/core/result_code.hpp
+++ b/include/eelgrassledge/core/result_code.hpp
@@ -4,7 +4,6 @@
 #include <span>
 #include <string>
 #include <string_view>
-
 #include <tl/expected.hpp>
 
 namespace eelgrassledge {
--- a/include/eelgrassledge/entry/admission_control.hpp
+++ b/include/eelgrassledge/entry/admission_control.hpp
@@ -4,9 +4,10 @@
 
 namespace eelgrassledge {
 
-/// Share of the time to the deadline that a query's slowest shard may be expected to wait for a slot when the query
-/// is admitted. An idle service is never refused. Falls when admitted queries miss their deadline and rises slowly while they keep it, so that the
-/// share of late ones settles near the ratio of the two steps. Constant time.
+/// Share of the time to the deadline that a query's slowest shard may be expected to wait for a slot when the
+/// query is admitted. An idle service is never refused. Falls when admitted queries miss their deadline and
+/// rises slowly while they keep it, so that the share of late ones settles near the ratio of the two steps.
+/// Constant time.
 class admission_control {
   public:
     [[nodiscard]] auto margin() const -> double { return margin_; }
--- a/include/eelgrassledge/entry/entry_service.hpp
+++ b/include/eelgrassledge/entry/entry_service.hpp
@@ -22,8 +22,8 @@
 /// When a second replica is asked although the first may still answer.
 enum class hedge_policy : std::uint8_t {
     none,
-    fixed_delay,   ///< After a fixed running time at the upstream.
-    quantile,      ///< After a quantile of recent running times at the upstreams of the service.
+    fixed_delay,    ///< After a fixed running time at the upstream.
+    quantile,       ///< After a quantile of recent running times at the upstreams of the service.
     median_factor,  ///< After a multiple of the median of recent running times.
 };
 
@@ -165,7 +165,8 @@
         std::size_t answered = 0;
         std::uint32_t restarts = 0;
         std::uint32_t canary_failures = 0;
-        std::optional<shard_index> canary;  ///< The shard that runs ahead of the others; empty once it answered.
+        std::optional<shard_index>
+            canary;  ///< The shard that runs ahead of the others; empty once it answered.
         bool any_may_have_run = false;
         time_point wakeup = time_point::max();
     };
@@ -174,7 +175,8 @@
         shard_index shard;
     };
 
-    auto refuse(const search_request& request, result_code code, std::optional<duration> retry_after) -> submitted;
+    auto refuse(const search_request& request, result_code code, std::optional<duration> retry_after)
+        -> submitted;
     [[nodiscard]] auto admission_shortfall(const search_request& request, const snapshot_choice& snapshot,
                                            time_point now) const -> std::optional<duration>;
     auto begin(query& q, time_point now, entry_actions& out) -> void;
@@ -188,12 +190,14 @@
         -> std::optional<upstream_id>;
     auto send_attempt(query& q, shard_index shard, const upstream_id& upstream, bool extra, time_point now,
                       entry_actions& out) -> void;
-    auto accept(query& q, shard_index shard, const sub_answer& answer, time_point now, entry_actions& out) -> void;
-    auto reject(query& q, shard_index shard, const upstream_id& upstream, const sub_answer& answer, time_point now,
-                entry_actions& out) -> void;
-    auto fail_canary(query& q, shard_index shard, const sub_answer& answer, time_point now, entry_actions& out)
-        -> bool;
-    auto retry_or_give_up(query& q, shard_index shard, result_code code, time_point now, entry_actions& out) -> void;
+    auto accept(query& q, shard_index shard, const sub_answer& answer, time_point now, entry_actions& out)
+        -> void;
+    auto reject(query& q, shard_index shard, const upstream_id& upstream, const sub_answer& answer,
+                time_point now, entry_actions& out) -> void;
+    auto fail_canary(query& q, shard_index shard, const sub_answer& answer, time_point now,
+                     entry_actions& out) -> bool;
+    auto retry_or_give_up(query& q, shard_index shard, result_code code, time_point now, entry_actions& out)
+        -> void;
     auto give_up(query& q, shard_index shard) -> void;
     auto restart(query& q, time_point now, entry_actions& out) -> bool;
     auto withdraw_all(query& q, entry_actions& out) -> void;
--- a/include/eelgrassledge/entry/service_view.hpp
+++ b/include/eelgrassledge/entry/service_view.hpp
@@ -68,12 +68,13 @@
         -> std::vector<upstream_id>;
 
     /// Time until an upstream would finish one more sub-request of a lane.
-    [[nodiscard]] auto expected_finish(const upstream_id& upstream, lane priority, time_point now) const -> duration;
+    [[nodiscard]] auto expected_finish(const upstream_id& upstream, lane priority, time_point now) const
+        -> duration;
 
     /// The least time that a sub-request would wait for a slot among the warm replicas of a shard that take
     /// work; empty when there is none.
-    [[nodiscard]] auto least_wait(snapshot_id snapshot, shard_index shard, lane priority, time_point now) const
-        -> std::optional<duration>;
+    [[nodiscard]] auto least_wait(snapshot_id snapshot, shard_index shard, lane priority,
+                                  time_point now) const -> std::optional<duration>;
 
     /// Whether the broker of an upstream was lost or silent lately.
     [[nodiscard]] auto broker_is_avoided(const upstream_id& upstream, time_point now) const -> bool;
@@ -101,7 +102,8 @@
 
     [[nodiscard]] auto service_time_of(const upstream_entry& entry) const -> duration;
     [[nodiscard]] auto usable(const upstream_entry& entry) const -> bool;
-    [[nodiscard]] auto expected_finish(const upstream_entry& entry, lane priority, time_point now) const -> duration;
+    [[nodiscard]] auto expected_finish(const upstream_entry& entry, lane priority, time_point now) const
+        -> duration;
     [[nodiscard]] auto choose_snapshot(std::optional<snapshot_id> newer_than) const
         -> std::optional<snapshot_choice>;
     auto index_holdings() -> void;
--- a/include/eelgrassledge/membership/assignment.hpp
+++ b/include/eelgrassledge/membership/assignment.hpp
@@ -40,7 +40,8 @@
 ///
 /// An upstream stays with its owner while that one holds no more than its share; others go to the member
 /// that wins their rendezvous hash among those below the share. Complexity: upstreams times members.
-[[nodiscard]] auto assign_upstreams(const document& doc, const zone_id& zone, const std::vector<member_info>& members,
+[[nodiscard]] auto assign_upstreams(const document& doc, const zone_id& zone,
+                                    const std::vector<member_info>& members,
                                     const std::map<upstream_id, instance_id>& previous)
     -> std::map<upstream_id, instance_id>;
 
--- a/include/eelgrassledge/membership/zone_coordinator.hpp
+++ b/include/eelgrassledge/membership/zone_coordinator.hpp
@@ -22,7 +22,7 @@
     duration grant = milliseconds{1500};           ///< Authority given to a member with each sync.
     duration member_timeout = milliseconds{2500};  ///< Silence after which a member is taken for dead.
     duration reporter_timeout = milliseconds{2000};
-    duration clock_margin = milliseconds{100};     ///< Allowance for clocks that run at different speeds.
+    duration clock_margin = milliseconds{100};  ///< Allowance for clocks that run at different speeds.
     duration reread_interval = seconds{5};
 };
 
@@ -81,8 +81,8 @@
     assignment value;
     mod_revision expected;
 };
-using store_op = std::variant<read_shared_op, read_reporter_op, grant_op, create_reporter_op, keep_alive_op, revoke_op,
-                              write_assignment_op>;
+using store_op = std::variant<read_shared_op, read_reporter_op, grant_op, create_reporter_op, keep_alive_op,
+                              revoke_op, write_assignment_op>;
 
 /// Answer of the store to one operation; only the part that belongs to the operation is set.
 struct store_reply {
@@ -100,7 +100,8 @@
 /// lease, so a successor that holds the lease need not wait for them. The class is not synchronized.
 ///
 /// Example:
-/// `if (auto op = coordinator.next_store_op(now)) { auto sent = now; coordinator.on_store(*op, run(*op), sent, later); }`
+/// `if (auto op = coordinator.next_store_op(now)) { auto sent = now; coordinator.on_store(*op, run(*op),
+/// sent, later); }`
 class zone_coordinator {
   public:
     zone_coordinator(member_info self, coordinator_times times, std::vector<std::string> seed_peers,
@@ -110,7 +111,8 @@
     [[nodiscard]] auto next_store_op(time_point now) -> std::optional<store_op>;
 
     /// Records the result of a store operation and the time at which it was begun.
-    auto on_store(const store_op& op, const result<store_reply>& reply, time_point sent, time_point now) -> void;
+    auto on_store(const store_op& op, const result<store_reply>& reply, time_point sent, time_point now)
+        -> void;
 
     /// Records keys seen by a watch or a read.
     auto on_shared_keys(const std::vector<key_value>& keys) -> void;
@@ -121,7 +123,8 @@
     /// Peer addresses to sync with now.
     [[nodiscard]] auto due_syncs(time_point now) -> std::vector<std::string>;
     [[nodiscard]] auto make_sync_request(time_point now) const -> sync_request;
-    auto on_sync_reply(const std::string& address, const sync_reply& reply, time_point sent, time_point now) -> void;
+    auto on_sync_reply(const std::string& address, const sync_reply& reply, time_point sent, time_point now)
+        -> void;
     auto on_sync_failed(const std::string& address, time_point now) -> void;
 
     /// Answers the sync of another daemon.
@@ -145,9 +148,13 @@
     /// Warm-up state that a previous owner left for an upstream.
     [[nodiscard]] auto inherited(const upstream_id& upstream) const -> std::optional<warm_up_state>;
 
-    [[nodiscard]] auto current_document() const -> const std::optional<document_version>& { return document_; }
+    [[nodiscard]] auto current_document() const -> const std::optional<document_version>& {
+        return document_;
+    }
     [[nodiscard]] auto assignments() const -> const std::map<zone_id, assignment>& { return assignments_; }
-    [[nodiscard]] auto leaving_upstreams() const -> const std::vector<upstream_id>& { return leaving_upstreams_; }
+    [[nodiscard]] auto leaving_upstreams() const -> const std::vector<upstream_id>& {
+        return leaving_upstreams_;
+    }
     [[nodiscard]] auto suspects(time_point now) const -> std::vector<suspect_report>;
     [[nodiscard]] auto is_reporter() const -> bool { return role_ == role::reporter; }
     [[nodiscard]] auto members(time_point now) const -> std::vector<member_info>;
@@ -188,8 +195,10 @@
     auto note_member(const sync_request& request, time_point now) -> void;
     auto fill_for_member(const sync_request& request, sync_reply& reply, time_point now) -> void;
     [[nodiscard]] auto reporter_addresses() const -> std::vector<std::string>;
-    auto on_put_assignment(const write_assignment_op& op, const result<store_reply>& reply, time_point now) -> void;
-    auto on_created_reporter(const create_reporter_op& op, const result<store_reply>& reply, time_point now) -> void;
+    auto on_put_assignment(const write_assignment_op& op, const result<store_reply>& reply, time_point now)
+        -> void;
+    auto on_created_reporter(const create_reporter_op& op, const result<store_reply>& reply, time_point now)
+        -> void;
     auto on_kept_alive(const result<store_reply>& reply, time_point sent, time_point now) -> void;
     auto settle_releases(time_point now) -> void;
     [[nodiscard]] auto withheld_from(const instance_id& member) const -> std::vector<upstream_id>;
--- a/include/eelgrassledge/output/metrics.hpp
+++ b/include/eelgrassledge/output/metrics.hpp
@@ -28,7 +28,8 @@
     auto operator=(const metrics&) -> metrics& = delete;
 
     /// Adds to a counter, which begins at zero.
-    auto count(const std::string& name, const std::vector<metric_label>& labels, std::uint64_t by = 1) -> void;
+    auto count(const std::string& name, const std::vector<metric_label>& labels, std::uint64_t by = 1)
+        -> void;
 
     /// Sets a gauge.
     auto set(const std::string& name, const std::vector<metric_label>& labels, double value) -> void;
--- a/include/eelgrassledge/runtime/application.hpp
+++ b/include/eelgrassledge/runtime/application.hpp
@@ -62,7 +62,8 @@
     [[nodiscard]] auto find_caller(const document& doc, const std::string& key) const -> const caller_spec*;
     [[nodiscard]] auto lane_for(const caller_spec& caller, lane wanted) -> lane;
     [[nodiscard]] auto claim_lifetime() -> result<lease_id>;
-    auto refuse(const respond& done, result_code code, std::string_view message, const request_id& request) -> void;
+    auto refuse(const respond& done, result_code code, std::string_view message, const request_id& request)
+        -> void;
 
     [[nodiscard]] auto may_administer(const std::string& token) -> bool;
     auto administer(const api_request& request, const respond& done) -> void;
--- a/include/eelgrassledge/runtime/broker_runtime.hpp
+++ b/include/eelgrassledge/runtime/broker_runtime.hpp
@@ -79,8 +79,8 @@
     auto arm(const std::shared_ptr<upstream_shard>& shard) -> void;
     template <class Event>
     auto handle(const std::shared_ptr<upstream_shard>& shard, Event event) -> void;
-    auto on_sent(const std::shared_ptr<upstream_shard>& shard, const sub_key& key, const send_outcome& outcome)
-        -> void;
+    auto on_sent(const std::shared_ptr<upstream_shard>& shard, const sub_key& key,
+                 const send_outcome& outcome) -> void;
     auto count_answer(const sub_answer& answer) -> void;
 
     broker_hooks hooks_;
--- a/include/eelgrassledge/runtime/caller_codec.hpp
+++ b/include/eelgrassledge/runtime/caller_codec.hpp
@@ -35,7 +35,8 @@
 [[nodiscard]] auto encode_answer(const search_answer& answer) -> std::string;
 
 /// Body of a refusal that concerns no running query (JSON).
-[[nodiscard]] auto encode_refusal(result_code code, std::string_view message, const request_id& request) -> std::string;
+[[nodiscard]] auto encode_refusal(result_code code, std::string_view message, const request_id& request)
+    -> std::string;
 
 /// HTTP status for a result code.
 [[nodiscard]] auto http_status_of(result_code code) -> int;
--- a/include/eelgrassledge/runtime/event_log.hpp
+++ b/include/eelgrassledge/runtime/event_log.hpp
@@ -17,6 +17,7 @@
 
 /// Writes one structured line: level, event and fields. The daemon fills it with JSON lines on standard
 /// error; tests fill it with a list.
-using event_log = std::function<void(log_level level, std::string_view event, const std::vector<log_field>& fields)>;
+using event_log =
+    std::function<void(log_level level, std::string_view event, const std::vector<log_field>& fields)>;
 
 }  // namespace eelgrassledge
--- a/include/eelgrassledge/transport/upstream_client.hpp
+++ b/include/eelgrassledge/transport/upstream_client.hpp
@@ -58,7 +58,8 @@
 };
 
 /// Body of the request for a sub-request (JSON).
-[[nodiscard]] auto encode_sub_request(const sub_request& request, wire_id id, time_point deadline) -> std::string;
+[[nodiscard]] auto encode_sub_request(const sub_request& request, wire_id id, time_point deadline)
+    -> std::string;
 
 /// Reads an upstream's answer. Answers of another form, or for another sub-request, give `bad_answer`.
 [[nodiscard]] auto decode_upstream_answer(int status, const std::string& body, wire_id id) -> send_outcome;
--- a/src/broker/upstream_broker.cpp
+++ b/src/broker/upstream_broker.cpp
@@ -69,7 +69,8 @@
     return {std::move(answer)};
 }
 
-auto upstream_broker::refusal_for(const sub_request& request, time_point now) const -> std::optional<result_code> {
+auto upstream_broker::refusal_for(const sub_request& request, time_point now) const
+    -> std::optional<result_code> {
     if (!authority_.owned) {
         return result_code::not_owner;
     }
@@ -117,7 +118,8 @@
     target.emplace(queue_rank{start, request.query, request.key}, std::move(request));
 }
 
-auto upstream_broker::submit(sub_request request, time_point now, std::uint32_t known_strikes) -> broker_actions {
+auto upstream_broker::submit(sub_request request, time_point now, std::uint32_t known_strikes)
+    -> broker_actions {
     broker_actions out;
     auto here = strikes_here_.find(request.print);
     auto known = std::max(known_strikes, here == strikes_here_.end() ? 0 : here->second);
@@ -176,7 +178,8 @@
     return out;
 }
 
-auto upstream_broker::completed(const sub_key& key, const send_outcome& outcome, time_point now) -> broker_actions {
+auto upstream_broker::completed(const sub_key& key, const send_outcome& outcome, time_point now)
+    -> broker_actions {
     broker_actions out;
     auto found = running_.find(key);
     if (found == running_.end()) {
@@ -216,8 +219,8 @@
     return out;
 }
 
-auto upstream_broker::answered_by_upstream(const running_request& ended, const send_outcome& outcome, time_point now,
-                                           broker_actions& out) -> void {
+auto upstream_broker::answered_by_upstream(const running_request& ended, const send_outcome& outcome,
+                                           time_point now, broker_actions& out) -> void {
     if (outcome.start != start_id{}) {
         auto same = ramp_.answered(outcome.start);
         settle_strikes(!same, out);
@@ -254,7 +257,8 @@
     back_off_until_ = now + back_off_;
 }
 
-auto upstream_broker::connection_lost(const running_request& ended, time_point now, broker_actions& out) -> void {
+auto upstream_broker::connection_lost(const running_request& ended, time_point now, broker_actions& out)
+    -> void {
     ramp_.connection_failed();
     auto strike = [&](const sub_request& request) {
         if (strikes_here_.contains(request.print)) {
@@ -336,7 +340,8 @@
         auto key = queued_deadlines_.begin()->second;
         queued_deadlines_.erase(queued_deadlines_.begin());
         for (auto* queue : {&ordinary_, &priority_}) {
-            auto found = std::ranges::find_if(*queue, [&](const auto& item) { return item.first.key == key; });
+            auto found =
+                std::ranges::find_if(*queue, [&](const auto& item) { return item.first.key == key; });
             if (found != queue->end()) {
                 out.push_back(refuse(found->second, result_code::queue_expired));
                 queue->erase(found);
@@ -412,7 +417,8 @@
     queued_deadlines_.clear();
 }
 
-auto upstream_broker::flush_fingerprint(fingerprint print, std::uint32_t strikes, broker_actions& out) -> void {
+auto upstream_broker::flush_fingerprint(fingerprint print, std::uint32_t strikes, broker_actions& out)
+    -> void {
     for (auto* queue : {&priority_, &ordinary_}) {
         for (auto item = queue->begin(); item != queue->end();) {
             if (item->second.print != print) {
--- a/src/claims/claim.cpp
+++ b/src/claims/claim.cpp
@@ -25,8 +25,8 @@
 
 }  // namespace
 
-auto take_claim(const store& platform, const caller_id& caller, const request_id& request, const std::string& attempt,
-                lease_id lifetime) -> result<claim> {
+auto take_claim(const store& platform, const caller_id& caller, const request_id& request,
+                const std::string& attempt, lease_id lifetime) -> result<claim> {
     auto key = claim_key(caller, request);
     auto put = platform.put_if(key, attempt, mod_revision{}, lifetime);
     if (put && put->succeeded) {
--- a/src/config/document.cpp
+++ b/src/config/document.cpp
@@ -1,9 +1,9 @@
 #include "eelgrassledge/config/document.hpp"
 
 #include <capnp/message.h>
+#include <fmt/format.h>
 
 #include <algorithm>
-#include <fmt/format.h>
 #include <set>
 #include <sstream>
 
@@ -112,8 +112,9 @@
     } else if (section.kind == "upstream") {
         add_upstream(section, doc, faults);
     } else {
-        faults.push_back({section.kind, "",
-                          "is not a known kind of section (zone, instance, caller, operator, service, upstream)"});
+        faults.push_back(
+            {section.kind, "",
+             "is not a known kind of section (zone, instance, caller, operator, service, upstream)"});
     }
 }
 
@@ -129,7 +130,8 @@
         }
         auto [other, fresh] = by_address.emplace(upstream.address, name.value());
         if (!fresh && !upstream.address.empty()) {
-            faults.push_back({header, "address", fmt::format("is also the address of upstream {}", other->second)});
+            faults.push_back(
+                {header, "address", fmt::format("is also the address of upstream {}", other->second)});
         }
     }
 }
@@ -138,7 +140,8 @@
     std::set<std::string> keys;
     for (const auto& caller : doc.callers) {
         if (!caller.key_sha256.empty() && !keys.insert(caller.key_sha256).second) {
-            faults.push_back({"caller " + caller.name.value(), "key_sha256", "is also the key of another caller"});
+            faults.push_back(
+                {"caller " + caller.name.value(), "key_sha256", "is also the key of another caller"});
         }
     }
 }
@@ -207,14 +210,15 @@
 auto to_string(const std::vector<document_difference>& differences) -> std::string {
     std::string lines;
     for (const auto& d : differences) {
-        lines += fmt::format("[{}] {}: {} -> {}\n", d.section, d.key.empty() ? "section" : d.key,
-                             d.before.empty() ? "(absent)" : d.before, d.after.empty() ? "(absent)" : d.after);
+        lines +=
+            fmt::format("[{}] {}: {} -> {}\n", d.section, d.key.empty() ? "section" : d.key,
+                        d.before.empty() ? "(absent)" : d.before, d.after.empty() ? "(absent)" : d.after);
     }
     return lines;
 }
 
-auto set_document_key(std::string_view text, std::string_view section, std::string_view key, std::string_view value)
-    -> std::string {
+auto set_document_key(std::string_view text, std::string_view section, std::string_view key,
+                      std::string_view value) -> std::string {
     std::istringstream lines{std::string{text}};
     auto wanted = fmt::format("[{}]", section);
     auto assignment = fmt::format("{} = {}\n", key, value);
--- a/src/config/ini_reader.cpp
+++ b/src/config/ini_reader.cpp
@@ -1,13 +1,15 @@
 #include "eelgrassledge/config/ini_reader.hpp"
 
+#include <arpa/inet.h>
+#include <fmt/format.h>
 #include <ini.h>
 
 #include <algorithm>
-#include <arpa/inet.h>
 #include <charconv>
-#include <fmt/format.h>
 #include <mutex>
 #include <sstream>
+#include <unordered_map>
+#include <unordered_set>
 
 namespace eelgrassledge {
 
@@ -15,10 +17,23 @@
 
 constexpr int MAX_LINE_BYTES = 4096;
 
-auto find_section(ini_text& text, const std::string& kind, const std::string& name) -> ini_section* {
-    auto same = [&](const ini_section& s) { return s.kind == kind && s.name == name; };
-    auto found = std::ranges::find_if(text.sections, same);
-    return found == text.sections.end() ? nullptr : &*found;
+/// The text read so far, with the place of each section by its header.
+struct reading {
+    ini_text text;
+    std::unordered_map<std::string, std::size_t> place_by_header;
+};
+
+auto key_of(const ini_section& section) -> std::string {
+    return section.kind + " " + section.name;
+}
+
+/// The section of the same header, added when it is new.
+auto section_of(reading& state, ini_section section) -> ini_section& {
+    auto [place, fresh] = state.place_by_header.emplace(key_of(section), state.text.sections.size());
+    if (fresh) {
+        state.text.sections.push_back(std::move(section));
+    }
+    return state.text.sections[place->second];
 }
 
 auto split_header(const std::string& header) -> ini_section {
@@ -31,23 +46,18 @@
 }
 
 auto on_ini_entry(void* user, const char* header, const char* key, const char* value) -> int {
-    auto& text = *static_cast<ini_text*>(user);
+    auto& state = *static_cast<reading*>(user);
     if (*header == '\0') {
-        text.faults.push_back({"", key, "stands before the first section"});
+        state.text.faults.push_back({"", key, "stands before the first section"});
         return 1;
     }
-    auto section = split_header(header);
-    auto* target = find_section(text, section.kind, section.name);
-    if (target == nullptr) {
-        text.sections.push_back(std::move(section));
-        target = &text.sections.back();
-    }
+    auto& target = section_of(state, split_header(header));
     auto same_key = [key](const ini_entry& e) { return e.key == key; };
-    if (std::ranges::any_of(target->entries, same_key)) {
-        text.faults.push_back({header, key, "stands twice in this section"});
+    if (std::ranges::any_of(target.entries, same_key)) {
+        state.text.faults.push_back({header, key, "stands twice in this section"});
         return 1;
     }
-    target->entries.push_back({key, value});
+    target.entries.push_back({key, value});
     return 1;
 }
 
@@ -60,35 +70,29 @@
 }
 
 // Adds the sections that have no key, which the parser does not report, and notes repeated headers.
-auto add_empty_sections(std::string_view source, ini_text& text) -> void {
+auto add_empty_sections(std::string_view source, reading& state) -> void {
     std::istringstream lines{std::string{source}};
-    std::vector<std::string> seen;
+    std::unordered_set<std::string> seen;
     for (std::string line; std::getline(lines, line);) {
         auto body = trimmed(line);
-        if (body.empty() || body.front() != '[') {
-            continue;
-        }
         auto end = body.find(']');
-        if (end == std::string_view::npos) {
+        if (body.empty() || body.front() != '[' || end == std::string_view::npos) {
             continue;
         }
         auto header = std::string{body.substr(1, end - 1)};
-        if (std::ranges::find(seen, header) != seen.end()) {
-            text.faults.push_back({header, "", "this section stands twice"});
+        if (!seen.insert(header).second) {
+            state.text.faults.push_back({header, "", "this section stands twice"});
             continue;
         }
-        seen.push_back(header);
-        auto section = split_header(header);
-        if (find_section(text, section.kind, section.name) == nullptr) {
-            text.sections.push_back(std::move(section));
-        }
+        section_of(state, split_header(header));
     }
 }
 
 }  // namespace
 
 auto split_ini(std::string_view source) -> ini_text {
-    ini_text text;
+    reading state;
+    auto& text = state.text;
     if (source.find('\0') != std::string_view::npos) {
         text.faults.push_back({"", "", "contains a zero byte"});
         return text;
@@ -99,20 +103,21 @@
         ini_max_line = MAX_LINE_BYTES;
         ini_allow_multiline = false;
     });
-    auto bad_line = ini_parse_string(std::string{source}.c_str(), on_ini_entry, &text);
+    auto bad_line = ini_parse_string(std::string{source}.c_str(), on_ini_entry, &state);
     if (bad_line != 0) {
         auto reason = bad_line > 0 ? fmt::format("line {}: expected [kind name] or key = value", bad_line)
                                    : std::string{"out of memory"};
         text.faults.push_back({"", "", reason});
     }
-    add_empty_sections(source, text);
+    add_empty_sections(source, state);
     return text;
 }
 
 auto to_string(const std::vector<ini_fault>& faults) -> std::string {
     std::string lines;
     for (const auto& fault : faults) {
-        lines += fmt::format("[{}] {}{}{}\n", fault.section, fault.key, fault.key.empty() ? "" : ": ", fault.reason);
+        lines += fmt::format("[{}] {}{}{}\n", fault.section, fault.key, fault.key.empty() ? "" : ": ",
+                             fault.reason);
     }
     return lines;
 }
--- a/src/config/schema_reader.cpp
+++ b/src/config/schema_reader.cpp
@@ -1,9 +1,10 @@
 #include "schema_reader.hpp"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <cctype>
 #include <charconv>
-#include <fmt/format.h>
 #include <optional>
 
 #include "ini.capnp.h"
@@ -85,8 +86,8 @@
     return std::nullopt;
 }
 
-auto set_enumerant(capnp::StructSchema::Field field, const std::string& value, capnp::DynamicStruct::Builder target)
-    -> std::optional<std::string> {
+auto set_enumerant(capnp::StructSchema::Field field, const std::string& value,
+                   capnp::DynamicStruct::Builder target) -> std::optional<std::string> {
     std::string names;
     for (auto enumerant : field.getType().asEnum().getEnumerants()) {
         auto name = std::string{enumerant.getProto().getName().cStr()};
@@ -99,8 +100,8 @@
     return fmt::format("'{}' is not one of: {}", value, names);
 }
 
-auto set_bool(capnp::StructSchema::Field field, const std::string& value, capnp::DynamicStruct::Builder target)
-    -> std::optional<std::string> {
+auto set_bool(capnp::StructSchema::Field field, const std::string& value,
+              capnp::DynamicStruct::Builder target) -> std::optional<std::string> {
     if (value != "true" && value != "false") {
         return fmt::format("'{}' is not true or false", value);
     }
@@ -108,8 +109,8 @@
     return std::nullopt;
 }
 
-auto set_field(capnp::StructSchema::Field field, const std::string& value, capnp::DynamicStruct::Builder target)
-    -> std::optional<std::string> {
+auto set_field(capnp::StructSchema::Field field, const std::string& value,
+               capnp::DynamicStruct::Builder target) -> std::optional<std::string> {
     auto limits = limits_of(field);
     switch (field.getType().which()) {
         case capnp::schema::Type::UINT32:
@@ -145,8 +146,8 @@
     return key;
 }
 
-auto read_section(const ini_section& section, capnp::DynamicStruct::Builder target, std::vector<ini_fault>& faults)
-    -> void {
+auto read_section(const ini_section& section, capnp::DynamicStruct::Builder target,
+                  std::vector<ini_fault>& faults) -> void {
     auto header = header_of(section);
     auto fields = target.getSchema().getFields();
     auto entries = section.entries;
--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -13,7 +13,8 @@
 
 auto apply_overrides(ini_section& section, const std::vector<ini_entry>& overrides) -> void {
     for (const auto& change : overrides) {
-        auto found = std::ranges::find_if(section.entries, [&](const auto& e) { return e.key == change.key; });
+        auto found =
+            std::ranges::find_if(section.entries, [&](const auto& e) { return e.key == change.key; });
         if (found == section.entries.end()) {
             section.entries.push_back(change);
         } else {
--- a/src/entry/entry_service.cpp
+++ b/src/entry/entry_service.cpp
@@ -1,8 +1,7 @@
 #include "eelgrassledge/entry/entry_service.hpp"
 
-#include <boost/container_hash/hash.hpp>
-
 #include <algorithm>
+#include <boost/container_hash/hash.hpp>
 #include <unordered_map>
 
 namespace eelgrassledge {
@@ -106,15 +105,18 @@
 }
 
 entry_service::entry_service(service_spec spec, entry_policy policy, number_source numbers)
-    : spec_(std::move(spec)), policy_(policy), numbers_(std::move(numbers)), budget_(spec_.hedge_percent / 100.0) {}
+    : spec_(std::move(spec)),
+      policy_(policy),
+      numbers_(std::move(numbers)),
+      budget_(spec_.hedge_percent / 100.0) {}
 
 auto entry_service::configure(const service_spec& spec) -> void {
     spec_ = spec;
     budget_.configure(spec.hedge_percent / 100.0);
 }
 
-auto entry_service::refuse(const search_request& request, result_code code, std::optional<duration> retry_after)
-    -> submitted {
+auto entry_service::refuse(const search_request& request, result_code code,
+                           std::optional<duration> retry_after) -> submitted {
     search_answer answer;
     answer.request = request.request;
     answer.code = code;
@@ -233,7 +235,9 @@
     }
     auto names = view_.replicas(q.snapshot.snapshot, shard, q.request.priority, now);
     const auto& state = q.shards[shard.value()];
-    auto untried = [&](const auto& name) { return std::ranges::find(state.tried, name) == state.tried.end(); };
+    auto untried = [&](const auto& name) {
+        return std::ranges::find(state.tried, name) == state.tried.end();
+    };
     auto found = std::ranges::find_if(names, untried);
     if (found != names.end()) {
         return *found;
@@ -267,7 +271,8 @@
     return duration{static_cast<duration::rep>(median * policy_.hedge_median_factor)};
 }
 
-auto entry_service::send_shard(query& q, shard_index shard, bool extra, time_point now, entry_actions& out) -> bool {
+auto entry_service::send_shard(query& q, shard_index shard, bool extra, time_point now, entry_actions& out)
+    -> bool {
     auto upstream = choose_replica(q, shard, extra, now);
     if (!upstream) {
         return false;
@@ -276,8 +281,8 @@
     return true;
 }
 
-auto entry_service::send_attempt(query& q, shard_index shard, const upstream_id& upstream, bool extra, time_point now,
-                                 entry_actions& out) -> void {
+auto entry_service::send_attempt(query& q, shard_index shard, const upstream_id& upstream, bool extra,
+                                 time_point now, entry_actions& out) -> void {
     auto& state = q.shards[shard.value()];
     sub_request sub;
     sub.key.id = sub_request_id{numbers_()};
@@ -340,7 +345,8 @@
     } else if (answer.code == result_code::ok) {
         auto mismatched = answer;
         mismatched.code = result_code::wrong_shard;
-        out.push_back(note_action{note_reason::rejected_answer, mismatched.code, q.request.request, upstream});
+        out.push_back(
+            note_action{note_reason::rejected_answer, mismatched.code, q.request.request, upstream});
         reject(q, shard, upstream, mismatched, now, out);
     } else {
         reject(q, shard, upstream, answer, now, out);
@@ -349,8 +355,8 @@
     return out;
 }
 
-auto entry_service::accept(query& q, shard_index shard, const sub_answer& answer, time_point now, entry_actions& out)
-    -> void {
+auto entry_service::accept(query& q, shard_index shard, const sub_answer& answer, time_point now,
+                           entry_actions& out) -> void {
     auto& state = q.shards[shard.value()];
     state.answered = true;
     state.retry_at.reset();
@@ -443,7 +449,8 @@
         return false;
     }
     if (send_shard(q, shard, false, now, out)) {
-        out.push_back(note_action{note_reason::canary_retry, answer.code, q.request.request, answer.load.upstream});
+        out.push_back(
+            note_action{note_reason::canary_retry, answer.code, q.request.request, answer.load.upstream});
         return true;
     }
     return false;
@@ -502,8 +509,8 @@
         return false;
     }
     withdraw_all(q, out);
-    out.push_back(
-        note_action{note_reason::restart_on_newer_snapshot, result_code::wrong_snapshot, q.request.request, {}});
+    out.push_back(note_action{
+        note_reason::restart_on_newer_snapshot, result_code::wrong_snapshot, q.request.request, {}});
     ++q.restarts;
     q.snapshot = *newer;
     begin(q, now, out);
@@ -548,7 +555,8 @@
         return;
     }
     if (!budget_.take()) {
-        out.push_back(note_action{note_reason::hedge_over_budget, result_code::ok, q.request.request, *replica});
+        out.push_back(
+            note_action{note_reason::hedge_over_budget, result_code::ok, q.request.request, *replica});
         return;
     }
     out.push_back(note_action{note_reason::hedge, result_code::ok, q.request.request, *replica});
--- a/src/entry/latency_tracker.cpp
+++ b/src/entry/latency_tracker.cpp
@@ -1,8 +1,7 @@
 #include "eelgrassledge/entry/latency_tracker.hpp"
 
-#include <boost/histogram/axis/regular.hpp>
-
 #include <algorithm>
+#include <boost/histogram/axis/regular.hpp>
 
 namespace eelgrassledge {
 
--- a/src/entry/service_view.cpp
+++ b/src/entry/service_view.cpp
@@ -46,7 +46,8 @@
     by_shard_.clear();
     for (auto& [name, entry] : upstreams_) {
         for (const auto& held : entry.load.holdings) {
-            if (held.shard_count == 0 || held.shard_count > MAX_SHARDS || held.shard.value() >= held.shard_count) {
+            if (held.shard_count == 0 || held.shard_count > MAX_SHARDS ||
+                held.shard.value() >= held.shard_count) {
                 continue;
             }
             auto& shards = by_shard_[held.snapshot];
@@ -163,7 +164,8 @@
     return names;
 }
 
-auto service_view::expected_finish(const upstream_id& upstream, lane priority, time_point now) const -> duration {
+auto service_view::expected_finish(const upstream_id& upstream, lane priority, time_point now) const
+    -> duration {
     auto found = upstreams_.find(upstream);
     return found == upstreams_.end() ? AVOIDED_PENALTY : expected_finish(found->second, priority, now);
 }
@@ -175,7 +177,8 @@
     return service_times_.samples() > 0 ? service_times_.mean() : UNKNOWN_SERVICE_TIME;
 }
 
-auto service_view::expected_finish(const upstream_entry& entry, lane priority, time_point now) const -> duration {
+auto service_view::expected_finish(const upstream_entry& entry, lane priority, time_point now) const
+    -> duration {
     auto service_time = service_time_of(entry);
     auto slots = std::max(1U, entry.load.slots);
     auto age = std::clamp(now - entry.load_at, duration{0}, LOAD_FORGOTTEN_AFTER);
@@ -186,7 +189,8 @@
     auto rounds = 1.0 + std::max(0.0, ahead - (slots - 1.0)) / slots;
     auto finish = duration{static_cast<duration::rep>(rounds * static_cast<double>(service_time.count()))};
     if (!entry.load.warm && entry.load.rate_per_s > 0) {
-        finish += duration{static_cast<duration::rep>(fresh * entry.load.queued * 1e6 / entry.load.rate_per_s)};
+        finish +=
+            duration{static_cast<duration::rep>(fresh * entry.load.queued * 1e6 / entry.load.rate_per_s)};
     }
     if (!entry.load.admitting || entry.avoid_until > now) {
         finish += AVOIDED_PENALTY;
--- a/src/membership/assignment.cpp
+++ b/src/membership/assignment.cpp
@@ -1,8 +1,7 @@
 #include "eelgrassledge/membership/assignment.hpp"
 
-#include <boost/container_hash/hash.hpp>
-
 #include <algorithm>
+#include <boost/container_hash/hash.hpp>
 
 namespace eelgrassledge {
 
@@ -10,7 +9,8 @@
 
 using load_map = std::map<instance_id, std::size_t>;
 
-auto eligible_members(const document& doc, const zone_id& zone, const std::vector<member_info>& members) -> load_map {
+auto eligible_members(const document& doc, const zone_id& zone, const std::vector<member_info>& members)
+    -> load_map {
     load_map loads;
     for (const auto& member : members) {
         if (member.zone == zone && member.broker && !member.leaving && doc.instance_is_in(member.instance)) {
@@ -53,7 +53,8 @@
 }  // namespace
 
 auto assign_upstreams(const document& doc, const zone_id& zone, const std::vector<member_info>& members,
-                      const std::map<upstream_id, instance_id>& previous) -> std::map<upstream_id, instance_id> {
+                      const std::map<upstream_id, instance_id>& previous)
+    -> std::map<upstream_id, instance_id> {
     auto loads = eligible_members(doc, zone, members);
     auto upstreams = upstreams_in(doc, zone);
     std::map<upstream_id, instance_id> owners;
--- a/src/membership/stored_values.cpp
+++ b/src/membership/stored_values.cpp
@@ -9,9 +9,12 @@
 using nlohmann::json;
 
 auto member_to_json(const member_info& member) -> json {
-    return {{"instance", member.instance.value()}, {"zone", member.zone.value()},
-            {"http_address", member.http_address}, {"peer_address", member.peer_address},
-            {"broker", member.broker},             {"leaving", member.leaving}};
+    return {{"instance", member.instance.value()},
+            {"zone", member.zone.value()},
+            {"http_address", member.http_address},
+            {"peer_address", member.peer_address},
+            {"broker", member.broker},
+            {"leaving", member.leaving}};
 }
 
 auto member_of(const json& from) -> member_info {
@@ -55,8 +58,12 @@
     for (const auto& [upstream, owner] : value.owners) {
         owners[upstream.value()] = owner.value();
     }
-    json out{{"zone", value.zone.value()},         {"epoch", value.number.value()}, {"reporter", value.reporter.value()},
-             {"change_id", value.change_id},       {"members", members},            {"owners", owners}};
+    json out{{"zone", value.zone.value()},
+             {"epoch", value.number.value()},
+             {"reporter", value.reporter.value()},
+             {"change_id", value.change_id},
+             {"members", members},
+             {"owners", owners}};
     return out.dump();
 }
 
--- a/src/membership/zone_coordinator.cpp
+++ b/src/membership/zone_coordinator.cpp
@@ -21,9 +21,12 @@
 
 }  // namespace
 
-zone_coordinator::zone_coordinator(member_info self, coordinator_times times, std::vector<std::string> seed_peers,
-                                   std::uint64_t random_seed)
-    : self_(std::move(self)), times_(times), seed_peers_(std::move(seed_peers)), random_state_(random_seed | 1U) {}
+zone_coordinator::zone_coordinator(member_info self, coordinator_times times,
+                                   std::vector<std::string> seed_peers, std::uint64_t random_seed)
+    : self_(std::move(self)),
+      times_(times),
+      seed_peers_(std::move(seed_peers)),
+      random_state_(random_seed | 1U) {}
 
 auto zone_coordinator::jitter(duration upto) -> duration {
     random_state_ ^= random_state_ << 13U;
@@ -36,7 +39,8 @@
     return role_ == role::reporter && now < lease_until_;
 }
 
-// A new reporter waits until its predecessor's authority has run out even if the store ended that lease early.
+// A new reporter waits until its predecessor's authority has run out even if the store ended that lease
+// early.
 auto zone_coordinator::settled(time_point now) const -> bool {
     return now >= became_reporter_ + times_.lease_ttl + times_.clock_margin;
 }
@@ -120,14 +124,15 @@
     wanted.zone = self_.zone;
     wanted.number = epoch{before.number.value() + 1};
     wanted.reporter = self_.instance;
-    wanted.change_id = self_.instance.value() + "/" + std::to_string(jitter(duration{1'000'000'000'000}).count());
+    wanted.change_id =
+        self_.instance.value() + "/" + std::to_string(jitter(duration{1'000'000'000'000}).count());
     wanted.members = std::move(members);
     wanted.owners = std::move(owners);
     return wanted;
 }
 
-auto zone_coordinator::on_store(const store_op& op, const result<store_reply>& reply, time_point sent, time_point now)
-    -> void {
+auto zone_coordinator::on_store(const store_op& op, const result<store_reply>& reply, time_point sent,
+                                time_point now) -> void {
     if (std::holds_alternative<read_shared_op>(op)) {
         if (reply) {
             on_shared_keys(reply->keys);
@@ -225,7 +230,8 @@
     ++version_;
 }
 
-auto zone_coordinator::on_kept_alive(const result<store_reply>& reply, time_point sent, time_point now) -> void {
+auto zone_coordinator::on_kept_alive(const result<store_reply>& reply, time_point sent, time_point now)
+    -> void {
     if (!reply) {
         next_keep_alive_ = std::min(next_keep_alive_, now + ELECTION_STEP);
         return;
@@ -583,7 +589,8 @@
     }
 }
 
-auto zone_coordinator::fill_for_member(const sync_request& request, sync_reply& reply, time_point now) -> void {
+auto zone_coordinator::fill_for_member(const sync_request& request, sync_reply& reply, time_point now)
+    -> void {
     settle_releases(now);
     auto& member = members_[request.from.instance];
     reply.grant = grant_for(now);
--- a/src/output/metrics.cpp
+++ b/src/output/metrics.cpp
@@ -1,10 +1,10 @@
 #include "eelgrassledge/output/metrics.hpp"
 
+#include <fmt/format.h>
+
 #include <boost/histogram/axis/variable.hpp>
 #include <boost/histogram/histogram.hpp>
 #include <boost/histogram/make_histogram.hpp>
-
-#include <fmt/format.h>
 #include <functional>
 
 namespace eelgrassledge {
@@ -14,8 +14,9 @@
 constexpr std::size_t SHARDS = 8;
 
 /// Upper bounds of the latency buckets, in seconds.
-const std::vector<double> LATENCY_BOUNDS{0.0,  0.0005, 0.001, 0.002, 0.005, 0.01, 0.02, 0.03, 0.05, 0.075,
-                                         0.1,  0.15,   0.2,   0.3,   0.38,  0.5,  0.75, 1.0,  2.0,  5.0, 10.0};
+const std::vector<double> LATENCY_BOUNDS{0.0,  0.0005, 0.001, 0.002, 0.005, 0.01, 0.02,
+                                         0.03, 0.05,   0.075, 0.1,   0.15,  0.2,  0.3,
+                                         0.38, 0.5,    0.75,  1.0,   2.0,   5.0,  10.0};
 
 using latency_axis = boost::histogram::axis::variable<double>;
 using latency_histogram = decltype(boost::histogram::make_histogram(latency_axis(LATENCY_BOUNDS)));
@@ -37,7 +38,8 @@
     return labels.empty() ? labels : "{" + labels + "}";
 }
 
-auto histogram_text(const std::string& name, const std::string& labels, const latency_series& series) -> std::string {
+auto histogram_text(const std::string& name, const std::string& labels, const latency_series& series)
+    -> std::string {
     std::string text;
     auto separator = labels.empty() ? "" : ",";
     const auto& axis = series.buckets.axis(0);
@@ -45,12 +47,14 @@
     for (int i = -1; i < axis.size(); ++i) {
         total += series.buckets.at(i);
         if (i >= 0) {
-            text += fmt::format("{}_bucket{{{}{}le=\"{}\"}} {}\n", name, labels, separator, axis.value(i + 1), total);
+            text += fmt::format("{}_bucket{{{}{}le=\"{}\"}} {}\n", name, labels, separator, axis.value(i + 1),
+                                total);
         }
     }
     total += series.buckets.at(axis.size());
     text += fmt::format("{}_bucket{{{}{}le=\"+Inf\"}} {}\n", name, labels, separator, total);
-    text += fmt::format("{}_sum{} {}\n{}_count{} {}\n", name, braces(labels), series.sum_s, name, braces(labels), total);
+    text += fmt::format("{}_sum{} {}\n{}_count{} {}\n", name, braces(labels), series.sum_s, name,
+                        braces(labels), total);
     return text;
 }
 
@@ -77,7 +81,8 @@
     return *shards_[std::hash<std::string>{}(name) % SHARDS];
 }
 
-auto metrics::count(const std::string& name, const std::vector<metric_label>& labels, std::uint64_t by) -> void {
+auto metrics::count(const std::string& name, const std::vector<metric_label>& labels, std::uint64_t by)
+    -> void {
     auto& home = shard_of(name);
     std::scoped_lock guard{home.lock};
     home.counters[{name, label_text(labels)}] += by;
@@ -89,7 +94,8 @@
     home.gauges[{name, label_text(labels)}] = value;
 }
 
-auto metrics::observe(const std::string& name, const std::vector<metric_label>& labels, duration sample) -> void {
+auto metrics::observe(const std::string& name, const std::vector<metric_label>& labels, duration sample)
+    -> void {
     auto& home = shard_of(name);
     auto sample_s = std::chrono::duration<double>(sample).count();
     std::scoped_lock guard{home.lock};
@@ -98,7 +104,8 @@
     series.sum_s += sample_s;
 }
 
-auto metrics::counter(const std::string& name, const std::vector<metric_label>& labels) const -> std::uint64_t {
+auto metrics::counter(const std::string& name, const std::vector<metric_label>& labels) const
+    -> std::uint64_t {
     auto& home = shard_of(name);
     std::scoped_lock guard{home.lock};
     auto found = home.counters.find({name, label_text(labels)});
--- a/src/peer/peer_network.cpp
+++ b/src/peer/peer_network.cpp
@@ -1,12 +1,12 @@
 #include "eelgrassledge/peer/peer_network.hpp"
 
 #include <capnp/rpc-twoparty.h>
+#include <fcntl.h>
 #include <kj/async-io.h>
 #include <unistd.h>
 
 #include <array>
 #include <atomic>
-#include <fcntl.h>
 #include <future>
 #include <map>
 #include <mutex>
@@ -77,7 +77,8 @@
 }  // namespace
 
 struct peer_network::implementation final : kj::TaskSet::ErrorHandler {
-    implementation(std::string address, peer_hooks given) : listen_address(std::move(address)), hooks(std::move(given)) {
+    implementation(std::string address, peer_hooks given)
+        : listen_address(std::move(address)), hooks(std::move(given)) {
         if (::pipe2(wake_pipe.data(), O_NONBLOCK | O_CLOEXEC) != 0) {
             return;
         }
@@ -220,12 +221,12 @@
             return;
         }
         if (!link.waiting.empty()) {
-            KJ_IF_MAYBE(session, link.session) {
+            KJ_IF_MAYBE (session, link.session) {
                 send_batch(*session, link);
             }
         }
         if (!link.cancelled.empty()) {
-            KJ_IF_MAYBE(session, link.session) {
+            KJ_IF_MAYBE (session, link.session) {
                 auto request = session->cancelRequest();
                 auto ids = request.initIds(static_cast<unsigned>(link.cancelled.size()));
                 for (unsigned i = 0; i < link.cancelled.size(); ++i) {
@@ -236,7 +237,7 @@
             }
         }
         if (link.wants_loads) {
-            KJ_IF_MAYBE(session, link.session) {
+            KJ_IF_MAYBE (session, link.session) {
                 tasks->add(session->loadsRequest().send().then([this](auto&& response) {
                     std::vector<upstream_load> loads;
                     for (auto load : response.getLoads()) {
@@ -266,7 +267,7 @@
     }
 
     auto send_sync(const std::string& address, outgoing_link& link, const sync_request& from) -> void {
-        KJ_IF_MAYBE(peer, link.peer) {
+        KJ_IF_MAYBE (peer, link.peer) {
             auto request = peer->syncRequest();
             to_wire(from, request.initRequest());
             auto sent = monotonic_now();
@@ -293,20 +294,22 @@
         link.generation = generation;
         link.redial_at = time_point{};
         dialling.insert(address);
-        auto connecting = io->provider->getNetwork()
-                              .parseAddress(address)
-                              .then([](kj::Own<kj::NetworkAddress>&& target) {
-                                  auto connected = target->connect();
-                                  return connected.attach(kj::mv(target));
-                              });
+        auto connecting =
+            io->provider->getNetwork().parseAddress(address).then([](kj::Own<kj::NetworkAddress>&& target) {
+                auto connected = target->connect();
+                return connected.attach(kj::mv(target));
+            });
         tasks->add(io->provider->getTimer()
                        .timeoutAfter(DIAL_TIMEOUT, kj::mv(connecting))
-                       .then([this, address, generation](
-                                 kj::Own<kj::AsyncIoStream>&& stream) { connected(address, generation, kj::mv(stream)); },
-                             [this, address, generation](kj::Exception&&) { lost(address, generation); }));
+                       .then(
+                           [this, address, generation](kj::Own<kj::AsyncIoStream>&& stream) {
+                               connected(address, generation, kj::mv(stream));
+                           },
+                           [this, address, generation](kj::Exception&&) { lost(address, generation); }));
     }
 
-    auto connected(const std::string& address, std::uint64_t generation, kj::Own<kj::AsyncIoStream> stream) -> void {
+    auto connected(const std::string& address, std::uint64_t generation, kj::Own<kj::AsyncIoStream> stream)
+        -> void {
         dialling.erase(address);
         auto& link = link_to(address);
         if (link.generation != generation) {
@@ -321,7 +324,8 @@
         link.peer = kj::mv(peer);
         link.connected = true;
         ++links_out;
-        tasks->add(link.client->onDisconnect().then([this, address, generation] { lost(address, generation); }));
+        tasks->add(
+            link.client->onDisconnect().then([this, address, generation] { lost(address, generation); }));
         flush(address);
     }
 
@@ -408,7 +412,8 @@
 /// Serves the sub-requests of one entry.
 class peer_network::implementation::session_server final : public wire::Session::Server {
   public:
-    session_server(implementation& owner, wire::AnswerSink::Client sink) : owner_(owner), link_(owner.next_link++) {
+    session_server(implementation& owner, wire::AnswerSink::Client sink)
+        : owner_(owner), link_(owner.next_link++) {
         owner_.sinks.emplace(link_, kj::mv(sink));
         ++owner_.links_in;
     }
@@ -503,7 +508,8 @@
 }
 
 auto peer_network::counts() const -> statistics {
-    return {impl_->sub_requests_out, impl_->messages_out, impl_->syncs_out, impl_->links_in, impl_->links_out};
+    return {impl_->sub_requests_out, impl_->messages_out, impl_->syncs_out, impl_->links_in,
+            impl_->links_out};
 }
 
 auto peer_network::stop() -> void {
--- a/src/peer/wire_conversions.cpp
+++ b/src/peer/wire_conversions.cpp
@@ -42,8 +42,12 @@
 }
 
 auto member_from_wire(wire::Member::Reader from) -> member_info {
-    return {instance_id{text_of(from.getInstance())}, zone_id{text_of(from.getZone())}, text_of(from.getHttpAddress()),
-            text_of(from.getPeerAddress()),           from.getBroker(),                 from.getLeaving(),
+    return {instance_id{text_of(from.getInstance())},
+            zone_id{text_of(from.getZone())},
+            text_of(from.getHttpAddress()),
+            text_of(from.getPeerAddress()),
+            from.getBroker(),
+            from.getLeaving(),
             revision{from.getRevision()}};
 }
 
@@ -112,7 +116,8 @@
 auto suspects_from_wire(Owner from) -> std::vector<suspect_report> {
     std::vector<suspect_report> reports;
     for (auto item : from.getSuspects()) {
-        reports.push_back({fingerprint{item.getFingerprint()}, item.getStrikes(), milliseconds{item.getAgeMs()}});
+        reports.push_back(
+            {fingerprint{item.getFingerprint()}, item.getStrikes(), milliseconds{item.getAgeMs()}});
     }
     return reports;
 }
@@ -174,7 +179,8 @@
     to.warm = from.getWarm();
     to.rate_per_s = from.getRatePerS();
     for (auto held : from.getHoldings()) {
-        to.holdings.push_back({snapshot_id{held.getSnapshot()}, shard_index{held.getShard()}, held.getShardCount()});
+        to.holdings.push_back(
+            {snapshot_id{held.getSnapshot()}, shard_index{held.getShard()}, held.getShardCount()});
     }
     return to;
 }
--- a/src/platform/etcd_store.cpp
+++ b/src/platform/etcd_store.cpp
@@ -1,8 +1,7 @@
 #include "eelgrassledge/platform/etcd_store.hpp"
 
-#include <nlohmann/json.hpp>
-
 #include <memory>
+#include <nlohmann/json.hpp>
 
 #include "eelgrassledge/transport/http_call.hpp"
 
@@ -113,15 +112,17 @@
     store hooks;
     hooks.read = [service](const std::string& prefix) {
         json body{{"key", to_base64(prefix)}, {"range_end", to_base64(prefix_end(prefix))}};
-        return convert_answer<std::vector<key_value>>(service->post("/v3/kv/range", body, false), [](const json& from) {
-            std::vector<key_value> keys;
-            for (const auto& kv : from.value("kvs", json::array())) {
-                keys.push_back(key_value_of(kv));
-            }
-            return keys;
-        });
+        return convert_answer<std::vector<key_value>>(
+            service->post("/v3/kv/range", body, false), [](const json& from) {
+                std::vector<key_value> keys;
+                for (const auto& kv : from.value("kvs", json::array())) {
+                    keys.push_back(key_value_of(kv));
+                }
+                return keys;
+            });
     };
-    hooks.put_if = [service](const std::string& key, const std::string& value, mod_revision expected, lease_id lease) {
+    hooks.put_if = [service](const std::string& key, const std::string& value, mod_revision expected,
+                             lease_id lease) {
         json body{{"compare", compare_revision(key, expected)},
                   {"success", json::array({put_request(key, value, lease)})}};
         return convert_answer<put_outcome>(service->post("/v3/kv/txn", body, true), put_outcome_of);
@@ -137,8 +138,9 @@
                                         [](const json& from) { return lease_id{number_of(from, "ID")}; });
     };
     hooks.keep_alive = [service](lease_id lease) {
-        return convert_answer<seconds>(service->post("/v3/lease/keepalive", lease_body(lease), false),
-                                       [](const json& from) { return seconds{number_of(from.at("result"), "TTL")}; });
+        return convert_answer<seconds>(
+            service->post("/v3/lease/keepalive", lease_body(lease), false),
+            [](const json& from) { return seconds{number_of(from.at("result"), "TTL")}; });
     };
     hooks.revoke = [service](lease_id lease) {
         return convert_answer<bool>(service->post("/v3/lease/revoke", lease_body(lease), true),
@@ -149,7 +151,8 @@
 
 auto watch_etcd_prefix(const std::string& address, const std::string& prefix, duration silence,
                        const std::function<bool(const std::vector<key_value>&)>& on_keys) -> result<bool> {
-    json create{{"key", to_base64(prefix)}, {"range_end", to_base64(prefix_end(prefix))}, {"progress_notify", true}};
+    json create{
+        {"key", to_base64(prefix)}, {"range_end", to_base64(prefix_end(prefix))}, {"progress_notify", true}};
     json body{{"create_request", create}};
     auto bad_line = false;
     auto on_line = [&](std::string_view line) {
@@ -166,7 +169,8 @@
         }
         return on_keys(keys);
     };
-    auto ended = stream_http({"POST", "http://" + address + "/v3/watch", body.dump(), {}, duration{0}}, silence, on_line);
+    auto ended = stream_http({"POST", "http://" + address + "/v3/watch", body.dump(), {}, duration{0}},
+                             silence, on_line);
     if (bad_line) {
         return fail(result_code::store_bad_answer, "watch: not a JSON object with a result");
     }
--- a/src/runtime/administration.cpp
+++ b/src/runtime/administration.cpp
@@ -1,6 +1,5 @@
-#include <nlohmann/json.hpp>
-
 #include <algorithm>
+#include <nlohmann/json.hpp>
 
 #include "eelgrassledge/config/document_writer.hpp"
 #include "eelgrassledge/runtime/application.hpp"
@@ -12,7 +11,8 @@
 using nlohmann::json;
 
 auto json_page(int status, const json& body) -> api_response {
-    return {status, "application/json", body.dump(-1, ' ', false, json::error_handler_t::replace), std::nullopt};
+    return {status, "application/json", body.dump(-1, ' ', false, json::error_handler_t::replace),
+            std::nullopt};
 }
 
 auto refusal_body(result_code code, const std::string& message) -> json {
@@ -21,7 +21,8 @@
 
 auto change_page(const change_outcome& outcome) -> api_response {
     if (outcome.code == result_code::ok) {
-        return json_page(200, {{"revision", outcome.version.number.value()}, {"change_id", outcome.version.change_id}});
+        return json_page(
+            200, {{"revision", outcome.version.number.value()}, {"change_id", outcome.version.change_id}});
     }
     auto body = refusal_body(outcome.code, outcome.message);
     json faults = json::array();
@@ -30,7 +31,8 @@
     }
     json differences = json::array();
     for (const auto& d : outcome.differences) {
-        differences.push_back({{"section", d.section}, {"key", d.key}, {"current", d.before}, {"proposed", d.after}});
+        differences.push_back(
+            {{"section", d.section}, {"key", d.key}, {"current", d.before}, {"proposed", d.after}});
     }
     body["faults"] = faults;
     body["differences"] = differences;
@@ -46,9 +48,10 @@
     if (!valid) {
         return fail(result_code::malformed_request, "expected based_on (number), text and change_id (texts)");
     }
-    auto author = body.contains("author") && body["author"].is_string() ? body["author"].get<std::string>() : "";
-    return document_change{revision{body["based_on"].get<std::uint64_t>()}, body["text"].get<std::string>(), author,
-                           body["change_id"].get<std::string>()};
+    auto author =
+        body.contains("author") && body["author"].is_string() ? body["author"].get<std::string>() : "";
+    return document_change{revision{body["based_on"].get<std::uint64_t>()}, body["text"].get<std::string>(),
+                           author, body["change_id"].get<std::string>()};
 }
 
 auto members_json(const std::vector<member_info>& members) -> json {
--- a/src/runtime/application.cpp
+++ b/src/runtime/application.cpp
@@ -24,7 +24,13 @@
 const link_id LOCAL_LINK{0};
 
 auto member_of(const daemon_settings& settings) -> member_info {
-    return {settings.instance, settings.zone, settings.http_address, settings.peer_address, settings.broker, false, {}};
+    return {settings.instance,
+            settings.zone,
+            settings.http_address,
+            settings.peer_address,
+            settings.broker,
+            false,
+            {}};
 }
 
 auto times_of(const daemon_settings& settings) -> coordinator_times {
@@ -47,10 +53,14 @@
 application::application(daemon_settings settings, event_log log)
     : settings_(std::move(settings)),
       log_(std::move(log)),
-      coordinator_{{}, zone_coordinator{member_of(settings_), times_of(settings_), settings_.seed_peers, random_number()}},
+      coordinator_{
+          {},
+          zone_coordinator{member_of(settings_), times_of(settings_), settings_.seed_peers, random_number()}},
       nonce_(std::to_string(random_number())) {
     entry_hooks entry;
-    entry.send = [this](const instance_id& broker, sub_request request) { route_to_broker(broker, std::move(request)); };
+    entry.send = [this](const instance_id& broker, sub_request request) {
+        route_to_broker(broker, std::move(request));
+    };
     entry.withdraw = [this](const instance_id& broker, const upstream_id&, sub_request_id id) {
         if (broker == settings_.instance) {
             broker_->cancel({LOCAL_LINK, id});
@@ -253,7 +263,8 @@
     broker_->learn_suspects(suspects);
     entry_->configure(*version->parsed, assignments, suspects);
     renew_ownership();
-    auto out = !version->parsed->zone_is_in(settings_.zone) || !version->parsed->instance_is_in(settings_.instance);
+    auto out =
+        !version->parsed->zone_is_in(settings_.zone) || !version->parsed->instance_is_in(settings_.instance);
     if (!out) {
         out_since_ = 0;
     } else if (out_since_ == 0) {
@@ -277,7 +288,8 @@
             if (!authority.owned) {
                 continue;
             }
-            auto is_leaving = std::ranges::find(leaving, name) != leaving.end() || !doc->zone_is_in(upstream.zone);
+            auto is_leaving =
+                std::ranges::find(leaving, name) != leaving.end() || !doc->zone_is_in(upstream.zone);
             owned.push_back({name, authority, decisions.inherited(name), is_leaving});
         }
     }
@@ -307,8 +319,8 @@
 
 // ---- searches ----
 
-auto application::refuse(const respond& done, result_code code, std::string_view message, const request_id& request)
-    -> void {
+auto application::refuse(const respond& done, result_code code, std::string_view message,
+                         const request_id& request) -> void {
     auto reason = std::string{describe(code).name};
     metrics_.count("eelgrassledge_refusals_total", {{"reason", reason}});
     log_(log_level::info, "refused", {{"request_id", request.value()}, {"code", reason}});
@@ -367,7 +379,8 @@
     start_search(request, *wanted, std::move(done));
 }
 
-auto application::start_search(const api_request& request, const caller_search& wanted, respond done) -> void {
+auto application::start_search(const api_request& request, const caller_search& wanted, respond done)
+    -> void {
     auto doc = current_document();
     if (!doc) {
         refuse(done, result_code::no_configuration, "no configuration yet", wanted.request);
@@ -422,7 +435,8 @@
     if (claim_lease_ && monotonic_now() < claim_lease_until_) {
         return *claim_lease_;
     }
-    auto granted = platform_->platform_store().grant(CLAIM_LIFETIME + std::chrono::duration_cast<seconds>(CLAIM_LEASE_AGE));
+    auto granted = platform_->platform_store().grant(CLAIM_LIFETIME +
+                                                     std::chrono::duration_cast<seconds>(CLAIM_LEASE_AGE));
     if (granted) {
         claim_lease_ = *granted;
         claim_lease_until_ = monotonic_now() + CLAIM_LEASE_AGE;
@@ -435,7 +449,8 @@
         const auto& platform = platform_->platform_store();
         auto lifetime = claim_lifetime();
         if (!lifetime) {
-            refuse(done, result_code::claim_unavailable, "the platform's store cannot be reached", request.request);
+            refuse(done, result_code::claim_unavailable, "the platform's store cannot be reached",
+                   request.request);
             return;
         }
         auto attempt = settings_.instance.value() + "/" + nonce_ + "/" + std::to_string(next_attempt_++);
@@ -501,7 +516,8 @@
         }
         auto handed_over = released();
         if (refuse_new_ && idle && (handed_over || monotonic_now() >= idle_since + RELEASE_WAIT)) {
-            log_(log_level::info, "stopped", {{"clean", "true"}, {"handed_over", handed_over ? "true" : "false"}});
+            log_(log_level::info, "stopped",
+                 {{"clean", "true"}, {"handed_over", handed_over ? "true" : "false"}});
             return true;
         }
         std::this_thread::sleep_for(DRAIN_STEP);
--- a/src/runtime/broker_runtime.cpp
+++ b/src/runtime/broker_runtime.cpp
@@ -148,10 +148,12 @@
 auto broker_runtime::run(const std::shared_ptr<upstream_shard>& shard, broker_actions actions) -> void {
     for (auto& action : actions) {
         if (auto* send = std::get_if<send_action>(&action)) {
-            metrics_.count("eelgrassledge_upstream_requests_total", {{"service", send->request.service.value()}});
-            client_.send(address_of(*shard), *send, [this, shard](const sub_key& key, const send_outcome& outcome) {
-                on_sent(shard, key, outcome);
-            });
+            metrics_.count("eelgrassledge_upstream_requests_total",
+                           {{"service", send->request.service.value()}});
+            client_.send(address_of(*shard), *send,
+                         [this, shard](const sub_key& key, const send_outcome& outcome) {
+                             on_sent(shard, key, outcome);
+                         });
         } else if (auto* answer = std::get_if<answer_action>(&action)) {
             {
                 std::scoped_lock guard{keys_lock_};
@@ -177,7 +179,8 @@
 
 auto broker_runtime::on_sent(const std::shared_ptr<upstream_shard>& shard, const sub_key& key,
                              const send_outcome& outcome) -> void {
-    handle(shard, [&](upstream_broker& broker, time_point now) { return broker.completed(key, outcome, now); });
+    handle(shard,
+           [&](upstream_broker& broker, time_point now) { return broker.completed(key, outcome, now); });
 }
 
 auto broker_runtime::count_answer(const sub_answer& answer) -> void {
@@ -224,7 +227,8 @@
         if (now_owned != shard->owned) {
             log_(log_level::info, "ownership",
                  {{"upstream", shard->broker.name().value()}, {"owned", now_owned ? "true" : "false"}});
-            metrics_.count("eelgrassledge_ownership_changes_total", {{"owned", now_owned ? "true" : "false"}});
+            metrics_.count("eelgrassledge_ownership_changes_total",
+                           {{"owned", now_owned ? "true" : "false"}});
             shard->owned = now_owned;
         }
         handle(shard, [&](upstream_broker& broker, time_point now) {
@@ -235,7 +239,8 @@
                 broker.inherit(*found->second->inherited);
             }
             auto actions = broker.set_leaving(found->second->leaving, now);
-            std::ranges::move(broker.set_authority(found->second->authority, now), std::back_inserter(actions));
+            std::ranges::move(broker.set_authority(found->second->authority, now),
+                              std::back_inserter(actions));
             return actions;
         });
     }
@@ -253,7 +258,8 @@
             continue;
         }
         client_.poll(address_of(*shard), [this, shard](const std::optional<upstream_status>& status) {
-            handle(shard, [&](upstream_broker& broker, time_point now) { return broker.polled(status, now); });
+            handle(shard,
+                   [&](upstream_broker& broker, time_point now) { return broker.polled(status, now); });
         });
     }
 }
--- a/src/runtime/caller_codec.cpp
+++ b/src/runtime/caller_codec.cpp
@@ -1,11 +1,11 @@
 #include "eelgrassledge/runtime/caller_codec.hpp"
 
-#include <nlohmann/json.hpp>
+#include <fmt/format.h>
 #include <openssl/crypto.h>
 #include <openssl/evp.h>
 
 #include <array>
-#include <fmt/format.h>
+#include <nlohmann/json.hpp>
 #include <set>
 
 namespace eelgrassledge {
@@ -35,7 +35,8 @@
         return std::optional<std::uint32_t>{};
     }
     const auto& value = body[field];
-    if (!value.is_number_unsigned() || value.get<std::uint64_t>() < lowest || value.get<std::uint64_t>() > highest) {
+    if (!value.is_number_unsigned() || value.get<std::uint64_t>() < lowest ||
+        value.get<std::uint64_t>() > highest) {
         return malformed(fmt::format("{}: expected a whole number from {} to {}", field, lowest, highest));
     }
     return std::optional{value.get<std::uint32_t>()};
@@ -57,8 +58,8 @@
 }
 
 auto check_fields(const json& body) -> result<bool> {
-    static const std::set<std::string> known{"request_id", "service", "query",      "limit",
-                                             "deadline_ms", "prefer", "idempotent", "lane"};
+    static const std::set<std::string> known{"request_id",  "service", "query",      "limit",
+                                             "deadline_ms", "prefer",  "idempotent", "lane"};
     for (const auto& [name, value] : body.items()) {
         if (!known.contains(name)) {
             return malformed(fmt::format("{}: not a known field", name.substr(0, MAX_REQUEST_ID_BYTES)));
--- a/src/runtime/entry_runtime.cpp
+++ b/src/runtime/entry_runtime.cpp
@@ -27,8 +27,8 @@
     return value == lane::priority ? "priority" : "ordinary";
 }
 
-auto routes_of(const document& doc, const std::map<zone_id, assignment>& assignments, const service_id& service)
-    -> std::vector<upstream_route> {
+auto routes_of(const document& doc, const std::map<zone_id, assignment>& assignments,
+               const service_id& service) -> std::vector<upstream_route> {
     std::vector<upstream_route> routes;
     for (const auto& [name, upstream] : doc.upstreams) {
         if (upstream.service != service) {
@@ -97,7 +97,8 @@
             std::weak_ptr<service_shard> weak = shard;
             shard->timer = timers_.add([this, weak] {
                 if (auto alive = weak.lock()) {
-                    handle(alive, [](entry_service& service, time_point now) { return service.advance(now); });
+                    handle(alive,
+                           [](entry_service& service, time_point now) { return service.advance(now); });
                 }
             });
             std::unique_lock guard{lock_};
@@ -172,8 +173,10 @@
     const auto& answer = done.answer;
     auto code = std::string{describe(answer.code).name};
     auto state = std::string{to_string(answer.state)};
-    metrics_.count("eelgrassledge_answers_total",
-                   {{"service", shard->name.value()}, {"lane", lane_name(caller.priority)}, {"code", code}, {"state", state}});
+    metrics_.count("eelgrassledge_answers_total", {{"service", shard->name.value()},
+                                                   {"lane", lane_name(caller.priority)},
+                                                   {"code", code},
+                                                   {"state", state}});
     metrics_.observe("eelgrassledge_answer_latency_seconds",
                      {{"service", shard->name.value()}, {"lane", lane_name(caller.priority)}},
                      monotonic_now() - caller.received);
@@ -226,7 +229,8 @@
 
 auto entry_runtime::on_broker_lost(const instance_id& broker) -> void {
     for (const auto& shard : all()) {
-        handle(shard, [&](entry_service& service, time_point now) { return service.broker_lost(broker, now); });
+        handle(shard,
+               [&](entry_service& service, time_point now) { return service.broker_lost(broker, now); });
     }
 }
 
--- a/src/runtime/platform_link.cpp
+++ b/src/runtime/platform_link.cpp
@@ -18,7 +18,8 @@
 
 /// Wraps a hook of the store so that its calls and failures are counted.
 template <class Result, class... Args>
-auto counted(std::function<Result(Args...)> hook, metrics& counters, const char* name) -> std::function<Result(Args...)> {
+auto counted(std::function<Result(Args...)> hook, metrics& counters, const char* name)
+    -> std::function<Result(Args...)> {
     return [hook = std::move(hook), &counters, name](Args... args) {
         auto answer = hook(args...);
         auto outcome = answer ? std::string{"ok"} : std::string{describe(answer.error().code).name};
@@ -28,9 +29,12 @@
 }
 
 auto counted(const store& plain, metrics& counters) -> store {
-    return {counted(plain.read, counters, "read"),      counted(plain.put_if, counters, "put_if"),
-            counted(plain.remove_if, counters, "remove_if"), counted(plain.grant, counters, "grant"),
-            counted(plain.keep_alive, counters, "keep_alive"), counted(plain.revoke, counters, "revoke")};
+    return {counted(plain.read, counters, "read"),
+            counted(plain.put_if, counters, "put_if"),
+            counted(plain.remove_if, counters, "remove_if"),
+            counted(plain.grant, counters, "grant"),
+            counted(plain.keep_alive, counters, "keep_alive"),
+            counted(plain.revoke, counters, "revoke")};
 }
 
 /// Runs one call of the store and puts its answer into a field of the reply.
@@ -46,8 +50,8 @@
 
 }  // namespace
 
-platform_link::platform_link(std::vector<std::string> addresses, shared_coordinator& coordinator, metrics& counters,
-                             event_log log)
+platform_link::platform_link(std::vector<std::string> addresses, shared_coordinator& coordinator,
+                             metrics& counters, event_log log)
     : addresses_(std::move(addresses)),
       coordinator_(coordinator),
       metrics_(counters),
@@ -94,14 +98,16 @@
         return into(store_.grant(lease_time()), &store_reply::lease);
     }
     if (const auto* create = std::get_if<create_reporter_op>(&op)) {
-        return into(store_.put_if(reporter_key(), create->value, mod_revision{}, create->lease), &store_reply::put);
+        return into(store_.put_if(reporter_key(), create->value, mod_revision{}, create->lease),
+                    &store_reply::put);
     }
     if (const auto* renew = std::get_if<keep_alive_op>(&op)) {
         return into(store_.keep_alive(renew->lease), &store_reply::time_to_live);
     }
     if (const auto* write = std::get_if<write_assignment_op>(&op)) {
         auto key = store_keys::ASSIGNMENTS + write->value.zone.value();
-        return into(store_.put_if(key, to_json(write->value), write->expected, lease_id{}), &store_reply::put);
+        return into(store_.put_if(key, to_json(write->value), write->expected, lease_id{}),
+                    &store_reply::put);
     }
     auto ended = store_.revoke(std::get<revoke_op>(op).lease);
     if (!ended) {
@@ -169,8 +175,9 @@
 auto platform_link::read_instance_list() -> void {
     for (const auto& address : addresses_) {
         auto answer = call_http({"GET", "http://" + address + "/instances", "", {}, INSTANCE_LIST_TIMEOUT});
-        metrics_.count("eelgrassledge_platform_calls_total",
-                       {{"call", "instances"}, {"outcome", answer.failure == http_failure::none ? "ok" : "failed"}});
+        metrics_.count(
+            "eelgrassledge_platform_calls_total",
+            {{"call", "instances"}, {"outcome", answer.failure == http_failure::none ? "ok" : "failed"}});
         if (answer.failure != http_failure::none || answer.response.status != 200) {
             continue;
         }
--- a/src/transport/curl_request.cpp
+++ b/src/transport/curl_request.cpp
@@ -10,7 +10,8 @@
 
 auto deliver_lines(response_sink& sink) -> bool {
     std::size_t begin = 0;
-    for (auto end = sink.response.body.find('\n'); end != std::string::npos; end = sink.response.body.find('\n', begin)) {
+    for (auto end = sink.response.body.find('\n'); end != std::string::npos;
+         end = sink.response.body.find('\n', begin)) {
         if (!(*sink.on_line)(std::string_view{sink.response.body}.substr(begin, end - begin))) {
             return false;
         }
@@ -32,8 +33,9 @@
     return size * count;
 }
 
-/// Gives the body piece by piece. There is no way to rewind it: a request whose body may have left on a connection
-/// that then died is reported as failed, and never sent again by the library on a connection of its own.
+/// Gives the body piece by piece. There is no way to rewind it: a request whose body may have left on a
+/// connection that then died is reported as failed, and never sent again by the library on a connection of
+/// its own.
 auto on_read(char* buffer, std::size_t size, std::size_t count, void* user) -> std::size_t {
     auto& sink = *static_cast<response_sink*>(user);
     auto taken = sink.body_left.substr(0, size * count);
@@ -46,12 +48,14 @@
 auto on_header(char* data, std::size_t size, std::size_t count, void* user) -> std::size_t {
     constexpr std::string_view RETRY_AFTER = "retry-after:";
     std::string_view line{data, size * count};
-    if (line.size() > RETRY_AFTER.size() && curl_strnequal(line.data(), RETRY_AFTER.data(), RETRY_AFTER.size()) != 0) {
+    if (line.size() > RETRY_AFTER.size() &&
+        curl_strnequal(line.data(), RETRY_AFTER.data(), RETRY_AFTER.size()) != 0) {
         auto value = line.substr(RETRY_AFTER.size());
         auto begin = value.find_first_not_of(' ');
         auto end = value.find_last_not_of("\r\n ");
-        *static_cast<std::string*>(user) =
-            begin == std::string_view::npos ? std::string{} : std::string{value.substr(begin, end - begin + 1)};
+        *static_cast<std::string*>(user) = begin == std::string_view::npos
+                                               ? std::string{}
+                                               : std::string{value.substr(begin, end - begin + 1)};
     }
     return size * count;
 }
--- a/src/transport/http_call.cpp
+++ b/src/transport/http_call.cpp
@@ -41,7 +41,8 @@
     response_sink sink;
     sink.on_line = &on_line;
     auto headers = prepare(handle.get(), request, sink);
-    auto silence_s = std::max<long>(1, static_cast<long>(std::chrono::duration_cast<seconds>(silence).count()));
+    auto silence_s =
+        std::max<long>(1, static_cast<long>(std::chrono::duration_cast<seconds>(silence).count()));
     curl_easy_setopt(handle.get(), CURLOPT_LOW_SPEED_LIMIT, SLOWEST_BYTES_PER_S);
     curl_easy_setopt(handle.get(), CURLOPT_LOW_SPEED_TIME, silence_s);
     auto code = curl_easy_perform(handle.get());
--- a/src/transport/upstream_client.cpp
+++ b/src/transport/upstream_client.cpp
@@ -43,8 +43,12 @@
 auto upstream_client::send(const std::string& address, const send_action& action, send_done done) -> void {
     auto id = wire_id{next_wire_id_++};
     auto key = action.request.key;
-    http_request request{"POST", "http://" + address + "/search", encode_sub_request(action.request, id, action.deadline),
-                         {},     duration{0},                     MAX_ANSWER_BYTES};
+    http_request request{"POST",
+                         "http://" + address + "/search",
+                         encode_sub_request(action.request, id, action.deadline),
+                         {},
+                         duration{0},
+                         MAX_ANSWER_BYTES};
     std::scoped_lock guard{lock_};
     auto call = loop_.start(std::move(request), action.fresh_connection,
                             [this, key, id, done = std::move(done)](const http_result& result) {
@@ -53,7 +57,8 @@
     sent_[key] = {call, id};
 }
 
-auto upstream_client::finish(const sub_key& key, wire_id id, const http_result& result, const send_done& done) -> void {
+auto upstream_client::finish(const sub_key& key, wire_id id, const http_result& result, const send_done& done)
+    -> void {
     {
         std::scoped_lock guard{lock_};
         auto found = sent_.find(key);
--- a/src/transport/upstream_codec.cpp
+++ b/src/transport/upstream_codec.cpp
@@ -106,8 +106,8 @@
         if (!parsed.is_object()) {
             return std::nullopt;
         }
-        return upstream_status{start_id{parsed.at("start_id").get<std::uint64_t>()}, parsed.value("draining", false),
-                               holdings_of(parsed.at("holdings"))};
+        return upstream_status{start_id{parsed.at("start_id").get<std::uint64_t>()},
+                               parsed.value("draining", false), holdings_of(parsed.at("holdings"))};
     } catch (const std::exception&) {
         return std::nullopt;
     }
--- a/standins/searcher.cpp
+++ b/standins/searcher.cpp
@@ -1,14 +1,14 @@
 // A small searcher for tests and demonstrations: slots, a connection limit, cold start, snapshots, shedding,
 // draining, cancellation, and the ways in which real ones misbehave.
 
-#include <cxxopts.hpp>
+#include <unistd.h>
 
+#include <cxxopts.hpp>
 #include <deque>
 #include <iostream>
 #include <memory>
 #include <random>
 #include <set>
-#include <unistd.h>
 
 #include "standin_server.hpp"
 
@@ -56,7 +56,8 @@
 };
 
 auto unix_us() -> std::int64_t {
-    return std::chrono::duration_cast<std::chrono::microseconds>(std::chrono::system_clock::now().time_since_epoch())
+    return std::chrono::duration_cast<std::chrono::microseconds>(
+               std::chrono::system_clock::now().time_since_epoch())
         .count();
 }
 
@@ -97,7 +98,8 @@
         return list;
     }
 
-    auto reply(const restinio::request_handle_t& request, std::uint64_t sub_id, int status, json body) -> void {
+    auto reply(const restinio::request_handle_t& request, std::uint64_t sub_id, int status, json body)
+        -> void {
         body["sub_id"] = cross_answers_ ? sub_id + 1 : sub_id;
         body["start_id"] = start_id_;
         body["holdings"] = holdings();
@@ -216,7 +218,8 @@
             ms *= options_.straggler_factor;
         }
         ms += new_connection ? options_.connect_cost_ms : 0;
-        return std::chrono::duration_cast<clock_type::duration>(std::chrono::duration<double, std::milli>{ms});
+        return std::chrono::duration_cast<clock_type::duration>(
+            std::chrono::duration<double, std::milli>{ms});
     }
 
     auto finish(std::uint64_t sub_id, bool completed) -> void {
@@ -238,12 +241,13 @@
 
     auto answer(const work_item& item) -> void {
         auto snapshot = item.body["snapshot"].get<std::uint64_t>();
-        auto held = held_.contains(snapshot) ? held_[snapshot] : held_snapshot{options_.shard, options_.shards};
+        auto held =
+            held_.contains(snapshot) ? held_[snapshot] : held_snapshot{options_.shard, options_.shards};
         auto query = item.body.value("query", "");
         json hits = json::array();
         for (int i = 0; i < HITS_PER_SHARD; ++i) {
-            auto record = options_.service + "-" + std::to_string(held.shards) + "-" + std::to_string(held.shard) + "-" +
-                          std::to_string(i);
+            auto record = options_.service + "-" + std::to_string(held.shards) + "-" +
+                          std::to_string(held.shard) + "-" + std::to_string(i);
             auto score = static_cast<double>(std::hash<std::string>{}(record + query) % 10'000) / 10'000.0;
             hits.push_back({{"record", record},
                             {"score", score},
@@ -261,7 +265,8 @@
         if (running != running_.end()) {
             running->second.timer->cancel();
         }
-        auto queued = std::find_if(queue_.begin(), queue_.end(), [&](const auto& i) { return i.sub_id == sub_id; });
+        auto queued =
+            std::find_if(queue_.begin(), queue_.end(), [&](const auto& i) { return i.sub_id == sub_id; });
         if (queued != queue_.end()) {
             auto item = std::move(*queued);
             queue_.erase(queued);
@@ -277,8 +282,9 @@
             standins::send_json(request, 200, lie_);
             return;
         }
-        standins::send_json(request, 200,
-                            {{"start_id", start_id_}, {"draining", draining_}, {"holdings", holdings()}, {"load", 0}});
+        standins::send_json(
+            request, 200,
+            {{"start_id", start_id_}, {"draining", draining_}, {"holdings", holdings()}, {"load", 0}});
     }
 
     auto counts(const restinio::request_handle_t& request) -> void {
@@ -362,11 +368,12 @@
 auto read_options(int argc, char** argv) -> searcher_options {
     searcher_options o;
     cxxopts::Options options{"standin-searcher", "A small searcher for tests."};
-    options.add_options()("address", "IP:PORT", cxxopts::value(o.address))("name", "", cxxopts::value(o.name))(
-        "service", "", cxxopts::value(o.service))("shard", "", cxxopts::value(o.shard))(
-        "shards", "", cxxopts::value(o.shards))("snapshot", "", cxxopts::value(o.snapshot))(
-        "slots", "", cxxopts::value(o.slots))("connections", "", cxxopts::value(o.connections))(
-        "connect-cost-ms", "", cxxopts::value(o.connect_cost_ms))(
+    options.add_options()("address", "IP:PORT", cxxopts::value(o.address))(
+        "name", "", cxxopts::value(o.name))("service", "", cxxopts::value(o.service))(
+        "shard", "", cxxopts::value(o.shard))("shards", "", cxxopts::value(o.shards))(
+        "snapshot", "", cxxopts::value(o.snapshot))("slots", "", cxxopts::value(o.slots))(
+        "connections", "", cxxopts::value(o.connections))("connect-cost-ms", "",
+                                                          cxxopts::value(o.connect_cost_ms))(
         "service-time-ms", "", cxxopts::value(o.service_time_ms))("sigma", "", cxxopts::value(o.sigma))(
         "straggler-share", "", cxxopts::value(o.straggler_share))(
         "straggler-factor", "", cxxopts::value(o.straggler_factor))("seed", "", cxxopts::value(o.seed))(
--- a/standins/standin_server.hpp
+++ b/standins/standin_server.hpp
@@ -1,12 +1,10 @@
 #pragma once
 
-#include <restinio/all.hpp>
-
 #include <functional>
 #include <map>
-#include <string>
-
 #include <nlohmann/json.hpp>
+#include <restinio/all.hpp>
+#include <string>
 
 namespace standins {
 
@@ -18,8 +16,8 @@
 };
 
 inline auto send_json(const restinio::request_handle_t& request, int status, const json& body) -> void {
-    auto out = request->create_response(
-        restinio::http_status_line_t{restinio::http_status_code_t{static_cast<std::uint16_t>(status)}, "Answer"});
+    auto out = request->create_response(restinio::http_status_line_t{
+        restinio::http_status_code_t{static_cast<std::uint16_t>(status)}, "Answer"});
     out.append_header(restinio::http_field::content_type, "application/json");
     out.set_body(body.dump());
     out.done();
@@ -35,7 +33,8 @@
 }
 
 /// Serves on an address until the process gets SIGTERM or SIGINT.
-inline auto serve(asio::io_context& io, const std::string& address, traits::request_handler_t handler) -> void {
+inline auto serve(asio::io_context& io, const std::string& address, traits::request_handler_t handler)
+    -> void {
     auto colon = address.rfind(':');
     restinio::run(io, restinio::on_this_thread<traits>()
                           .address(address.substr(0, colon))
--- a/tests/process/cold_start.cpp
+++ b/tests/process/cold_start.cpp
@@ -1,5 +1,4 @@
 #include <catch2/catch.hpp>
-
 #include <thread>
 
 #include "cluster.hpp"
--- a/tests/unit/entry_service.cpp
+++ b/tests/unit/entry_service.cpp
@@ -1,5 +1,4 @@
 #include <catch2/catch.hpp>
-
 #include <set>
 
 #include "fake_entry.hpp"
@@ -236,8 +235,8 @@
 }
 
 TEST_CASE("admission recovers after every query was late") {
-    // Regression: the margin fell until the running time of an idle service alone was too much, and every query was
-    // refused for ever (found by the policy benchmark, suite recovery, issue 5).
+    // Regression: the margin fell until the running time of an idle service alone was too much, and every
+    // query was refused for ever (found by the policy benchmark, suite recovery, issue 5).
     entry_bench e;
     for (int i = 0; i < 200; ++i) {
         e.submit(e.request(std::to_string(i)));
--- a/tools/daemon_client.hpp
+++ b/tools/daemon_client.hpp
@@ -1,10 +1,9 @@
 #pragma once
 
+#include <nlohmann/json.hpp>
 #include <string>
 #include <vector>
 
-#include <nlohmann/json.hpp>
-
 #include "eelgrassledge/core/result_code.hpp"
 #include "eelgrassledge/core/time.hpp"
 
@@ -38,8 +37,9 @@
     [[nodiscard]] auto read_document() const -> result<document_page>;
 
     /// Proposes a document based on a revision; the reply may be a refusal.
-    [[nodiscard]] auto put_document(const std::string& text, std::uint64_t based_on, const std::string& author,
-                                    const std::string& change_id) const -> result<daemon_reply>;
+    [[nodiscard]] auto put_document(const std::string& text, std::uint64_t based_on,
+                                    const std::string& author, const std::string& change_id) const
+        -> result<daemon_reply>;
 
   private:
     std::vector<std::string> addresses_;
--- a/tools/eelgrassledge.cpp
+++ b/tools/eelgrassledge.cpp
@@ -1,10 +1,10 @@
 // Command line for operators and callers.
 
-#include <cxxopts.hpp>
+#include <fmt/format.h>
 
 #include <algorithm>
 #include <cstdlib>
-#include <fmt/format.h>
+#include <cxxopts.hpp>
 #include <fstream>
 #include <iostream>
 #include <sstream>
@@ -37,7 +37,9 @@
     daemon_client client;
     bool as_json = false;
 
-    [[nodiscard]] auto word(std::size_t i) const -> std::string { return i < words.size() ? words[i] : std::string{}; }
+    [[nodiscard]] auto word(std::size_t i) const -> std::string {
+        return i < words.size() ? words[i] : std::string{};
+    }
 };
 
 auto usage() -> std::string {
@@ -56,12 +58,14 @@
 }
 
 auto make_options() -> cxxopts::Options {
-    cxxopts::Options options{"eelgrassledge", "Operators' and callers' command line of the eelgrassledge query tier."};
+    cxxopts::Options options{"eelgrassledge",
+                             "Operators' and callers' command line of the eelgrassledge query tier."};
     options.positional_help("COMMAND [ARGUMENTS]");
     options.add_options()("daemon", "HTTP addresses of daemons, IP:PORT[,IP:PORT...]",
                           cxxopts::value<std::string>()->default_value("127.0.0.1:8080"))(
-        "token", "administration token (or EELGRASSLEDGE_TOKEN)", cxxopts::value<std::string>()->default_value(""))(
-        "key", "caller's key (or EELGRASSLEDGE_KEY)", cxxopts::value<std::string>()->default_value(""))(
+        "token", "administration token (or EELGRASSLEDGE_TOKEN)",
+        cxxopts::value<std::string>()->default_value(""))("key", "caller's key (or EELGRASSLEDGE_KEY)",
+                                                          cxxopts::value<std::string>()->default_value(""))(
         "json", "print JSON for scripts")("author", "name noted with a change",
                                           cxxopts::value<std::string>()->default_value("operator"))(
         "based-on", "revision on which a change was made", cxxopts::value<std::uint64_t>())(
@@ -202,8 +206,8 @@
                         {"callers", parsed->callers.size()}};
     std::cout << (c.as_json ? summary.dump()
                             : fmt::format("valid: {} zones, {} services, {} upstreams, {} callers",
-                                          parsed->zones.size(), parsed->services.size(), parsed->upstreams.size(),
-                                          parsed->callers.size()))
+                                          parsed->zones.size(), parsed->services.size(),
+                                          parsed->upstreams.size(), parsed->callers.size()))
               << "\n";
     return DONE;
 }
@@ -214,7 +218,8 @@
         return report(page.error());
     }
     if (c.as_json) {
-        std::cout << json{{"revision", page->revision}, {"author", page->author}, {"text", page->text}}.dump() << "\n";
+        std::cout << json{{"revision", page->revision}, {"author", page->author}, {"text", page->text}}.dump()
+                  << "\n";
     } else {
         std::cout << fmt::format("; revision {} by {}\n{}", page->revision, page->author, page->text);
     }
@@ -225,8 +230,8 @@
     std::cerr << fmt::format("error {} {}: {}\n", body.value("code", 0), body.value("reason", ""),
                              body.value("message", ""));
     for (const auto& d : body.value("differences", json::array())) {
-        std::cerr << fmt::format("  [{}] {}: current {}, proposed {}\n", d.value("section", ""), d.value("key", ""),
-                                 d.value("current", ""), d.value("proposed", ""));
+        std::cerr << fmt::format("  [{}] {}: current {}, proposed {}\n", d.value("section", ""),
+                                 d.value("key", ""), d.value("current", ""), d.value("proposed", ""));
     }
 }
 
@@ -241,7 +246,9 @@
     } else {
         print_refused_change(reply.body);
     }
-    return reply.status == 200 ? DONE : exit_code_of({to_result_code(reply.body.value("code", std::uint16_t{0})), ""});
+    return reply.status == 200
+               ? DONE
+               : exit_code_of({to_result_code(reply.body.value("code", std::uint16_t{0})), ""});
 }
 
 auto run_config_put(const command& c) -> int {
@@ -259,7 +266,8 @@
         }
         based_on = page->revision;
     }
-    auto reply = c.client.put_document(*text, based_on, c.options["author"].as<std::string>(), make_change_id());
+    auto reply =
+        c.client.put_document(*text, based_on, c.options["author"].as<std::string>(), make_change_id());
     return reply ? finish_change(c, *reply) : report(reply.error());
 }
 
@@ -276,7 +284,8 @@
     }
     json list = json::array();
     for (const auto& d : differences) {
-        list.push_back({{"section", d.section}, {"key", d.key}, {"current", d.before}, {"proposed", d.after}});
+        list.push_back(
+            {{"section", d.section}, {"key", d.key}, {"current", d.before}, {"proposed", d.after}});
     }
     std::cout << json{{"revision", page->revision}, {"differences", list}}.dump() << "\n";
     return DONE;
@@ -327,7 +336,8 @@
             return report({result_code::not_found, "the document has no " + kind + " " + name});
         }
         auto text = set_document_key(page->text, kind + " " + name, "state", state);
-        auto reply = c.client.put_document(text, page->revision, c.options["author"].as<std::string>(), make_change_id());
+        auto reply = c.client.put_document(text, page->revision, c.options["author"].as<std::string>(),
+                                           make_change_id());
         if (!reply) {
             return report(reply.error());
         }
@@ -346,7 +356,8 @@
             if (member["instance"] != zone["reporter"]) {
                 continue;
             }
-            daemon_client reporter{{member.value("http_address", "")}, c.options["token"].as<std::string>(), ""};
+            daemon_client reporter{
+                {member.value("http_address", "")}, c.options["token"].as<std::string>(), ""};
             auto reply = reporter.call("GET", "/admin/status", {}, seconds{2});
             if (reply && reply->status == 200 && reply->body.is_object()) {
                 pages.push_back(reply->body);
@@ -364,7 +375,8 @@
         lines += fmt::format("zone {}: {}, epoch {}, reporter {}, {} upstreams\n", zone.value("zone", ""),
                              zone.value("state", ""), zone.value("epoch", 0), zone.value("reporter", ""),
                              zone.value("upstreams", 0));
-        auto source = std::ranges::find_if(reporters, [&](const json& r) { return r["zone"] == zone["zone"]; });
+        auto source =
+            std::ranges::find_if(reporters, [&](const json& r) { return r["zone"] == zone["zone"]; });
         if (source == reporters.end()) {
             lines += "  its reporter does not answer\n";
             ++behind;
@@ -374,11 +386,13 @@
             auto revision = member.value("revision", std::uint64_t{0});
             behind += revision < newest ? 1 : 0;
             lines += fmt::format("  instance {} {} revision {}{}\n", member.value("instance", ""),
-                                 member.value("http_address", ""), revision, member.value("leaving", false) ? " leaving" : "");
+                                 member.value("http_address", ""), revision,
+                                 member.value("leaving", false) ? " leaving" : "");
         }
     }
     std::cout << fmt::format("revision {} in force {}\n{}", newest,
-                             behind == 0 ? "everywhere" : fmt::format("not everywhere ({} behind)", behind), lines);
+                             behind == 0 ? "everywhere" : fmt::format("not everywhere ({} behind)", behind),
+                             lines);
 }
 
 auto run_status(const command& c) -> int {
@@ -424,7 +438,8 @@
     if (verb == "metrics") {
         return run_metrics(c);
     }
-    return bad_option(verb.empty() ? "a command is missing; see --help" : verb + ": not a command; see --help");
+    return bad_option(verb.empty() ? "a command is missing; see --help"
+                                   : verb + ": not a command; see --help");
 }
 
 auto option_or_environment(const cxxopts::ParseResult& parsed, const char* option, const char* variable)
@@ -450,7 +465,8 @@
         }
         daemon_client client{addresses, option_or_environment(parsed, "token", "EELGRASSLEDGE_TOKEN"),
                              option_or_environment(parsed, "key", "EELGRASSLEDGE_KEY")};
-        return run({parsed["words"].as<std::vector<std::string>>(), parsed, client, parsed.count("json") > 0});
+        return run(
+            {parsed["words"].as<std::vector<std::string>>(), parsed, client, parsed.count("json") > 0});
     } catch (const cxxopts::exceptions::exception& e) {
         return bad_option(e.what());
     } catch (const nlohmann::json::exception& e) {
--- a/tools/load.cpp
+++ b/tools/load.cpp
@@ -1,21 +1,19 @@
 // Open-loop load generator: sends searches at a rate whatever the answers, and checks each answer.
 
-#include <cxxopts.hpp>
+#include <fmt/format.h>
 
 #include <boost/histogram/axis/regular.hpp>
 #include <boost/histogram/histogram.hpp>
 #include <boost/histogram/make_histogram.hpp>
-
-#include <fmt/format.h>
+#include <cxxopts.hpp>
 #include <iostream>
 #include <map>
 #include <mutex>
+#include <nlohmann/json.hpp>
 #include <random>
 #include <set>
 #include <thread>
 
-#include <nlohmann/json.hpp>
-
 #include "eelgrassledge/config/ini_reader.hpp"
 #include "eelgrassledge/transport/http_loop.hpp"
 
@@ -74,7 +72,8 @@
     [[nodiscard]] auto count() const -> std::uint64_t { return count_; }
 
   private:
-    using histogram = decltype(boost::histogram::make_histogram(log_axis(LATENCY_BUCKETS, SMALLEST_MS, LARGEST_MS)));
+    using histogram =
+        decltype(boost::histogram::make_histogram(log_axis(LATENCY_BUCKETS, SMALLEST_MS, LARGEST_MS)));
     histogram buckets_ = boost::histogram::make_histogram(log_axis(LATENCY_BUCKETS, SMALLEST_MS, LARGEST_MS));
     std::uint64_t count_ = 0;
 };
@@ -175,8 +174,11 @@
     }
 
     auto send(const json& body, std::uint32_t retries, time_point begun) -> void {
-        http_request request{"POST", "http://" + choose_address() + "/search", body.dump(),
-                             {"X-Caller-Key: " + options_.key}, CALL_TIMEOUT};
+        http_request request{"POST",
+                             "http://" + choose_address() + "/search",
+                             body.dump(),
+                             {"X-Caller-Key: " + options_.key},
+                             CALL_TIMEOUT};
         loop_.start(std::move(request), false, [this, body, retries, begun](const http_result& result) {
             auto refused = result.failure == http_failure::none && result.response.status == 503;
             if (refused && retries > 0) {
@@ -214,7 +216,8 @@
         std::set<std::string> records;
         for (const auto& hit : answer["hits"]) {
             tally_.doubled += records.insert(hit.value("record", "")).second ? 0 : 1;
-            auto expected = body["request_id"].get<std::string>() + "@" + std::to_string(answer.value("snapshot", 0));
+            auto expected =
+                body["request_id"].get<std::string>() + "@" + std::to_string(answer.value("snapshot", 0));
             tally_.crossed += hit.value("body", "") == expected ? 0 : 1;
         }
         auto answered = coverage.value("shards_answered", 0U);
@@ -237,8 +240,8 @@
         }
         std::scoped_lock guard{lock_};
         std::cerr << fmt::format("{:5.0f} s: sent {}, complete {}, partial {}, refused {}, cut {}\n",
-                                 to_milliseconds(elapsed) / 1000, tally_.sent, tally_.complete, tally_.partial,
-                                 tally_.refused, tally_.cut);
+                                 to_milliseconds(elapsed) / 1000, tally_.sent, tally_.complete,
+                                 tally_.partial, tally_.refused, tally_.cut);
     }
 
     auto await_last() -> void {
@@ -290,15 +293,15 @@
 
 auto print(const json& report) -> void {
     std::cout << fmt::format("sent {}, complete {}, partial {}, refused {}, cut {}, mean coverage {:.4f}\n",
-                             report["sent"].get<int>(), report["complete"].get<int>(), report["partial"].get<int>(),
-                             report["refused"].get<int>(), report["cut"].get<int>(),
-                             report["mean_coverage"].get<double>());
+                             report["sent"].get<int>(), report["complete"].get<int>(),
+                             report["partial"].get<int>(), report["refused"].get<int>(),
+                             report["cut"].get<int>(), report["mean_coverage"].get<double>());
     std::cout << fmt::format("doubled {}, crossed {}, mislabelled {}\n", report["doubled"].get<int>(),
                              report["crossed"].get<int>(), report["mislabelled"].get<int>());
     for (const auto& [lane, row] : report["lanes"].items()) {
         std::cout << fmt::format("{:9} {:6} answers: p50 {:.1f} ms, p99 {:.1f} ms, p99.9 {:.1f} ms\n", lane,
-                                 row["answers"].get<int>(), row["p50_ms"].get<double>(), row["p99_ms"].get<double>(),
-                                 row["p999_ms"].get<double>());
+                                 row["answers"].get<int>(), row["p50_ms"].get<double>(),
+                                 row["p99_ms"].get<double>(), row["p999_ms"].get<double>());
     }
     for (const auto& [code, count] : report["codes"].items()) {
         std::cout << fmt::format("  {}: {}\n", code, count.get<int>());
@@ -309,13 +312,16 @@
 
 auto main(int argc, char** argv) -> int {
     load_options o;
-    cxxopts::Options options{"eelgrassledge-load",
-                             "Sends searches at a rate whatever the answers, and checks each answer.\n"
-                             "Exit codes: 0 done, 1 an answer was doubled, crossed, mislabelled or cut, 2 command line."};
+    cxxopts::Options options{
+        "eelgrassledge-load",
+        "Sends searches at a rate whatever the answers, and checks each answer.\n"
+        "Exit codes: 0 done, 1 an answer was doubled, crossed, mislabelled or cut, 2 command line."};
     options.add_options()("daemon", "HTTP addresses, IP:PORT[,IP:PORT...]", cxxopts::value(o.daemons))(
-        "key", "caller's key", cxxopts::value(o.key))("service", "service to search", cxxopts::value(o.service))(
-        "rate", "searches per second", cxxopts::value(o.rate))("duration", "seconds", cxxopts::value(o.duration_s))(
-        "priority-share", "share in the priority lane", cxxopts::value(o.priority_share))(
+        "key", "caller's key", cxxopts::value(o.key))(
+        "service", "service to search", cxxopts::value(o.service))("rate", "searches per second",
+                                                                   cxxopts::value(o.rate))(
+        "duration", "seconds", cxxopts::value(o.duration_s))("priority-share", "share in the priority lane",
+                                                             cxxopts::value(o.priority_share))(
         "non-idempotent-share", "share that may run only once", cxxopts::value(o.non_idempotent_share))(
         "limit", "most hits wanted", cxxopts::value(o.limit))("deadline-ms", "milliseconds; 0: the service's",
                                                               cxxopts::value(o.deadline_ms))(
@@ -331,7 +337,8 @@
             return 0;
         }
         if (o.service.empty() || o.rate <= 0 || o.duration_s <= 0 || split_addresses(o.daemons).empty()) {
-            std::cerr << "error 501 bad_option: --service, and --rate and --duration above zero, are needed\n";
+            std::cerr
+                << "error 501 bad_option: --service, and --rate and --duration above zero, are needed\n";
             return 2;
         }
     } catch (const cxxopts::exceptions::exception& e) {
@@ -345,6 +352,7 @@
     } else {
         print(report);
     }
-    auto wrong = result.doubled + result.crossed + result.mislabelled + result.cut + (result.sent - result.ended);
+    auto wrong =
+        result.doubled + result.crossed + result.mislabelled + result.cut + (result.sent - result.ended);
     return wrong == 0 ? 0 : 1;
 }
