--- a/bench/slopes.cpp
+++ b/bench/slopes.cpp
@@ -20,14 +20,15 @@
     for (int i = 0; i < rounds; ++i) {
         work();
     }
-    return std::chrono::duration<double, std::micro>(std::chrono::steady_clock::now() - begun).count() / rounds;
+    return std::chrono::duration<double, std::micro>(std::chrono::steady_clock::now() - begun).count() /
+           rounds;
 }
 
 auto document_with(int upstreams) -> std::string {
     std::string text = "[zone z]\n[service s]\n";
     for (int i = 0; i < upstreams; ++i) {
-        text += fmt::format("[upstream searcher-{:05}]\nservice = s\nzone = z\naddress = 10.{}.{}.{}:9000\n", i, i / 65536,
-                            i / 256 % 256, i % 256);
+        text += fmt::format("[upstream searcher-{:05}]\nservice = s\nzone = z\naddress = 10.{}.{}.{}:9000\n",
+                            i, i / 65536, i / 256 % 256, i % 256);
     }
     return text;
 }
@@ -35,8 +36,8 @@
 auto members(int count) -> std::vector<member_info> {
     std::vector<member_info> list;
     for (int i = 0; i < count; ++i) {
-        list.push_back({instance_id{fmt::format("entry-{:04}", i)}, zone_id{"z"}, "10.0.0.1:8080", "10.0.0.1:8081", true,
-                        false, revision{1}});
+        list.push_back({instance_id{fmt::format("entry-{:04}", i)}, zone_id{"z"}, "10.0.0.1:8080",
+                        "10.0.0.1:8081", true, false, revision{1}});
     }
     return list;
 }
@@ -51,10 +52,10 @@
         value.members = members(115);
         value.owners = assign_upstreams(parsed, zone_id{"z"}, value.members, {});
         auto parse_us = microseconds_of(3, [&] { (void)parse_document(text); });
-        auto assign_us =
-            microseconds_of(3, [&] { (void)assign_upstreams(parsed, zone_id{"z"}, value.members, value.owners); });
-        std::cout << fmt::format("| {} | {} | {:.1f} | {:.2f} | {} |\n", upstreams, text.size(), parse_us / 1000,
-                                 assign_us / 1000, to_json(value).size());
+        auto assign_us = microseconds_of(
+            3, [&] { (void)assign_upstreams(parsed, zone_id{"z"}, value.members, value.owners); });
+        std::cout << fmt::format("| {} | {} | {:.1f} | {:.2f} | {} |\n", upstreams, text.size(),
+                                 parse_us / 1000, assign_us / 1000, to_json(value).size());
     }
 }
 
@@ -77,8 +78,9 @@
 }
 
 auto print_query_slopes() -> void {
-    std::cout << "\n| shards | decision us for one query at the entry and the brokers | us for one sub-request |\n"
-                 "| --- | --- | --- |\n";
+    std::cout
+        << "\n| shards | decision us for one query at the entry and the brokers | us for one sub-request |\n"
+           "| --- | --- | --- |\n";
     for (std::uint32_t shards : {20U, 100U, 400U, 790U}) {
         bench::scenario what;
         what.shape.shards = shards;
