--- a/include/eelgrassledge/broker/sub_request.hpp
+++ b/include/eelgrassledge/broker/sub_request.hpp
@@ -20,6 +20,8 @@
     link_id link;
     sub_request_id id;
 
+    // NOLINTNEXTLINE(modernize-*)
+
     friend auto operator<=>(const sub_key&, const sub_key&) = default;
 };
 
@@ -51,6 +53,8 @@
     shard_index shard;
     std::uint32_t shard_count = 0;
 
+    // NOLINTNEXTLINE(modernize-*)
+
     friend auto operator<=>(const holding&, const holding&) = default;
 };
 
--- a/include/eelgrassledge/broker/upstream_broker.hpp
+++ b/include/eelgrassledge/broker/upstream_broker.hpp
@@ -144,6 +144,7 @@
         time_point start;
         query_id query;
         sub_key key;
+        // NOLINTNEXTLINE(modernize-*)
         friend auto operator<=>(const queue_rank&, const queue_rank&) = default;
     };
     struct running_request {
--- a/include/eelgrassledge/membership/zone_coordinator.hpp
+++ b/include/eelgrassledge/membership/zone_coordinator.hpp
@@ -221,7 +221,6 @@
     time_point next_keep_alive_{};
     time_point became_reporter_{};
     time_point next_read_{};
-    bool read_after_election_ = false;
     std::optional<assignment> unclear_write_;
     bool assignment_current_ = false;  ///< The zone's assignment was read since this daemon became reporter.
     mod_revision assignment_modified_;
--- a/src/entry/service_view.cpp
+++ b/src/entry/service_view.cpp
@@ -66,7 +66,7 @@
     }
     auto& entry = found->second;
     auto holdings_changed = !load.holdings.empty() && entry.load.holdings != load.holdings;
-    auto holdings = load.holdings.empty() ? std::move(entry.load.holdings) : load.holdings;
+    auto holdings = load.holdings.empty() ? entry.load.holdings : load.holdings;
     entry.load = load;
     entry.load.holdings = std::move(holdings);
     entry.load_at = now;
