--- a/include/eelgrassledge/broker/sub_request.hpp
+++ b/include/eelgrassledge/broker/sub_request.hpp
@@ -21,7 +21,6 @@
     sub_request_id id;
 
     // NOLINTNEXTLINE(modernize-*)
-
     friend auto operator<=>(const sub_key&, const sub_key&) = default;
 };
 
@@ -54,7 +53,6 @@
     std::uint32_t shard_count = 0;
 
     // NOLINTNEXTLINE(modernize-*)
-
     friend auto operator<=>(const holding&, const holding&) = default;
 };
 
--- a/include/eelgrassledge/core/strong_type.hpp
+++ b/include/eelgrassledge/core/strong_type.hpp
@@ -25,7 +25,6 @@
     [[nodiscard]] constexpr auto value() const -> const Rep& { return value_; }
 
     // NOLINTNEXTLINE(modernize-*)
-
     friend auto operator<=>(const strong_type&, const strong_type&) = default;
     friend auto operator<<(std::ostream& out, const strong_type& id) -> std::ostream& {
         return out << id.value_;
