Ask brokers for loads only where needed; back off while the store is down

Cause: docs/CAPACITY.md's arithmetic: at 920 daemons each asked 919 others for loads every second, each sync reply carried all members of the zone (17 KB at 115 members), and members without a reporter read the store twice a second while it was down (1,840 reads a second over 8 zones, near its limit). Change: loads are asked of brokers with unknown holdings or nothing heard for 30 s, 32 at a time; replies carry no members; reads back off to 4 s.

--- a/bench/slopes.cpp
+++ b/bench/slopes.cpp
@@ -1,5 +1,7 @@
 // Slopes for docs/CAPACITY.md that need no processes: bytes and time of the real codecs and decisions.
 
+#include <capnp/message.h>
+#include <capnp/serialize.h>
 #include <fmt/format.h>
 
 #include <chrono>
@@ -9,6 +11,7 @@
 #include "eelgrassledge/membership/assignment.hpp"
 #include "eelgrassledge/membership/zone_coordinator.hpp"
 #include "fakes.hpp"
+#include "wire_conversions.hpp"
 
 using namespace eelgrassledge;
 
@@ -59,6 +62,51 @@
     }
 }
 
+template <class Wire, class Value>
+auto bytes_of(const Value& value) -> std::size_t {
+    capnp::MallocMessageBuilder message;
+    to_wire(value, message.initRoot<Wire>());
+    return capnp::computeSerializedSizeInWords(message) * sizeof(capnp::word);
+}
+
+auto print_message_slopes() -> void {
+    std::cout << "\n| upstreams of the member | sync request bytes | reply bytes without news |\n| --- | --- "
+                 "| --- |\n";
+    for (int upstreams : {0, 5, 27, 100}) {
+        sync_request request;
+        request.from = members(1)[0];
+        for (int z = 0; z < 8; ++z) {
+            request.epochs[zone_id{fmt::format("zone-{}", z)}] = epoch{1};
+        }
+        for (int i = 0; i < upstreams; ++i) {
+            request.warm_ups.push_back(
+                {upstream_id{fmt::format("searcher-{:05}", i)}, {start_id{1}, 1000, true}});
+        }
+        sync_reply reply;
+        reply.from = instance_id{"entry-0001"};
+        reply.reporter_address = "10.0.0.1:8081";
+        std::cout << fmt::format("| {} | {} | {} |\n", upstreams, bytes_of<wire::SyncRequest>(request),
+                                 bytes_of<wire::SyncReply>(reply));
+    }
+    std::cout << "\n| hits in the answer | sub-request bytes | answer bytes |\n| --- | --- | --- |\n";
+    for (int hits : {0, 3, 10, 30}) {
+        sub_request request;
+        request.upstream = upstream_id{"searcher-00001"};
+        request.service = service_id{"label-desk"};
+        request.request = request_id{"request-0001"};
+        request.text = "a query of thirty-two characters";
+        broker_message answer;
+        answer.answer.load.upstream = request.upstream;
+        answer.answer.load.holdings = {{snapshot_id{1}, shard_index{1}, 20},
+                                       {snapshot_id{2}, shard_index{1}, 20}};
+        for (int i = 0; i < hits; ++i) {
+            answer.answer.hits.push_back({fmt::format("record-{:08}", i), 0.5, std::string(40, 'x')});
+        }
+        std::cout << fmt::format("| {} | {} | {} |\n", hits, bytes_of<wire::SubRequest>(request),
+                                 bytes_of<wire::SubAnswer>(answer));
+    }
+}
+
 auto print_reporter_slopes() -> void {
     std::cout << "\n| members of the zone | reporter: us for one member's sync |\n| --- | --- |\n";
     for (int count : {10, 50, 115, 230}) {
@@ -101,6 +149,7 @@
 
 auto main() -> int {
     print_document_slopes();
+    print_message_slopes();
     print_reporter_slopes();
     print_query_slopes();
     return 0;
--- a/include/eelgrassledge/entry/service_view.hpp
+++ b/include/eelgrassledge/entry/service_view.hpp
@@ -87,8 +87,8 @@
 
     [[nodiscard]] auto upstream_count() const -> std::size_t { return upstreams_.size(); }
 
-    /// Upstreams with a broker whose holdings are not known yet.
-    [[nodiscard]] auto without_holdings() const -> std::vector<upstream_id>;
+    /// Brokers of upstreams whose holdings are not known, or of which nothing was heard for long.
+    [[nodiscard]] auto brokers_to_ask(time_point now) const -> std::set<instance_id>;
 
   private:
     struct upstream_entry {
--- a/include/eelgrassledge/membership/zone_coordinator.hpp
+++ b/include/eelgrassledge/membership/zone_coordinator.hpp
@@ -61,7 +61,6 @@
     std::vector<warm_up_report> inherited;
     std::vector<upstream_id> withheld;  ///< Assigned, but the previous owner may still send to them.
     std::vector<upstream_id> leaving_upstreams;
-    std::vector<member_info> members;
 };
 
 struct read_shared_op {};
@@ -236,6 +235,7 @@
     std::string reporter_address_;
     time_point reporter_heard_{};
     time_point next_election_step_{};
+    duration election_pause_ = milliseconds{300};  ///< Doubles while the store does not answer.
     std::optional<lease_id> candidate_lease_;
     time_point candidate_sent_{};
     bool reporter_key_absent_ = false;
--- a/include/eelgrassledge/runtime/entry_runtime.hpp
+++ b/include/eelgrassledge/runtime/entry_runtime.hpp
@@ -46,6 +46,9 @@
 
     [[nodiscard]] auto running() const -> std::size_t;
 
+    /// Brokers that should be asked for loads, over all services.
+    [[nodiscard]] auto brokers_to_ask() const -> std::set<instance_id>;
+
     /// Records loads learned outside of answers, such as holdings of upstreams that have not answered yet.
     auto record_loads(const std::vector<upstream_load>& loads) -> void;
 
--- a/schema/peer.capnp
+++ b/schema/peer.capnp
@@ -131,7 +131,7 @@
   suspects @6 :List(Suspect);
   inherited @7 :List(WarmUp);
   leavingUpstreams @8 :List(Text);
-  members @9 :List(Member);
+  unused9 @9 :Void;
   withheld @10 :List(Text);
   zoneEpoch @11 :UInt64;
 }
--- a/src/entry/service_view.cpp
+++ b/src/entry/service_view.cpp
@@ -10,6 +10,8 @@
 constexpr duration UNKNOWN_SERVICE_TIME = milliseconds{8};
 /// Age at which a reported queue no longer counts.
 constexpr duration LOAD_FORGOTTEN_AFTER = milliseconds{500};
+/// Age at which a broker is asked for the loads of its upstreams although they are known.
+constexpr duration LOAD_STALE_AFTER = seconds{30};
 /// Added to the expected finish of an upstream that takes no new work or is avoided.
 constexpr duration AVOIDED_PENALTY = seconds{10};
 /// Shards that one snapshot may have; a larger number in an answer is not believed.
@@ -224,14 +226,16 @@
     return found == upstreams_.end() ? instance_id{} : found->second.route.broker;
 }
 
-auto service_view::without_holdings() const -> std::vector<upstream_id> {
-    std::vector<upstream_id> names;
+auto service_view::brokers_to_ask(time_point now) const -> std::set<instance_id> {
+    std::set<instance_id> brokers;
     for (const auto& [name, entry] : upstreams_) {
-        if (entry.load.holdings.empty() && !entry.route.broker.value().empty()) {
-            names.push_back(name);
+        auto unknown = entry.load.holdings.empty();
+        auto silent = now - entry.load_at > LOAD_STALE_AFTER;
+        if ((unknown || silent) && !entry.route.broker.value().empty()) {
+            brokers.insert(entry.route.broker);
         }
     }
-    return names;
+    return brokers;
 }
 
 }  // namespace eelgrassledge
--- a/src/membership/zone_coordinator.cpp
+++ b/src/membership/zone_coordinator.cpp
@@ -8,6 +8,8 @@
 
 /// Pause between two steps of an election.
 constexpr duration ELECTION_STEP = milliseconds{300};
+/// Longest pause between two tries to read the reporter's key while the store does not answer.
+constexpr duration LONGEST_ELECTION_PAUSE = seconds{4};
 /// Least time between two changes of a zone's assignment.
 constexpr duration ASSIGNMENT_INTERVAL = milliseconds{300};
 /// Time between syncs with other zones' reporters and with seeds.
@@ -141,7 +143,11 @@
         }
     } else if (std::holds_alternative<read_reporter_op>(op)) {
         if (reply) {
+            election_pause_ = ELECTION_STEP;
             on_read_reporter(*reply, now);
+        } else {
+            election_pause_ = std::min(election_pause_ * 2, LONGEST_ELECTION_PAUSE);
+            next_election_step_ = now + election_pause_ + jitter(election_pause_);
         }
     } else if (std::holds_alternative<grant_op>(op)) {
         if (reply) {
@@ -622,7 +628,6 @@
         fill_for_member(request, reply, now);
     }
     fill_news(request, reply);
-    reply.members = members(now);
     return reply;
 }
 
--- a/src/peer/wire_conversions.cpp
+++ b/src/peer/wire_conversions.cpp
@@ -324,9 +324,6 @@
     fill_list(
         from.leaving_upstreams, [&](unsigned n) { return to.initLeavingUpstreams(n); },
         [](const upstream_id& name, auto& list, unsigned i) { set_text(name, list, i); });
-    fill_list(
-        from.members, [&](unsigned n) { return to.initMembers(n); },
-        [](const member_info& member, auto& list, unsigned i) { member_to_wire(member, list[i]); });
 }
 
 auto from_wire(wire::SyncReply::Reader from) -> sync_reply {
@@ -348,9 +345,6 @@
     }
     to.withheld = names_of(from.getWithheld());
     to.leaving_upstreams = names_of(from.getLeavingUpstreams());
-    for (auto member : from.getMembers()) {
-        to.members.push_back(member_from_wire(member));
-    }
     return to;
 }
 
--- a/src/runtime/application.cpp
+++ b/src/runtime/application.cpp
@@ -12,6 +12,8 @@
 constexpr duration OWNERSHIP_INTERVAL = milliseconds{100};
 constexpr duration POLL_INTERVAL = milliseconds{1000};
 constexpr duration LOADS_INTERVAL = milliseconds{1000};
+/// Brokers asked for loads at a time, so that a daemon that starts does not ask a whole fleet at once.
+constexpr std::size_t MAX_LOADS_ASKED = 32;
 /// While it stops, a daemon still takes work for this long, so that the balancer can notice.
 constexpr duration STOP_NOTICE = milliseconds{1500};
 /// An entry whose zone or instance was taken out still takes work for this long.
@@ -298,18 +300,13 @@
 
 auto application::ask_for_loads() -> void {
     entry_->record_loads(broker_->loads());
-    std::vector<std::string> addresses;
-    {
-        std::scoped_lock guard{addresses_lock_};
-        for (const auto& [instance, address] : address_by_instance_) {
-            if (instance != settings_.instance) {
-                addresses.push_back(address);
-            }
+    std::size_t asked = 0;
+    for (const auto& broker : entry_->brokers_to_ask()) {
+        auto address = broker == settings_.instance ? std::string{} : peer_address_of(broker);
+        if (!address.empty() && asked++ < MAX_LOADS_ASKED) {
+            peers_->ask_loads(address);
         }
     }
-    for (const auto& address : addresses) {
-        peers_->ask_loads(address);
-    }
 }
 
 auto application::current_document() -> std::shared_ptr<const document> {
--- a/src/runtime/entry_runtime.cpp
+++ b/src/runtime/entry_runtime.cpp
@@ -243,6 +243,15 @@
     }
 }
 
+auto entry_runtime::brokers_to_ask() const -> std::set<instance_id> {
+    std::set<instance_id> brokers;
+    for (const auto& shard : all()) {
+        std::scoped_lock guard{shard->lock};
+        brokers.merge(shard->service.view().brokers_to_ask(monotonic_now()));
+    }
+    return brokers;
+}
+
 auto entry_runtime::running() const -> std::size_t {
     std::size_t total = 0;
     for (const auto& shard : all()) {
