A leaving reporter hands over before it gives its lease back; suspects run as probes

The stopping reporter gave its lease back 5 ms after it had written the assignment; successors had no authority to prove the upstreams warm for 5 s (302 retries for no_authority). Now it stays reporter until every member knows the epoch and for 1 s more, and members told that it is none look for the next one at once. 2. process-crash printed 'is_whole(1, innocent): false': with only suspects to ask, nothing settled an upstream of unknown warmth. Now a suspect may be the probe; a second loss counts as a second strike. Ruled out for 2: settling strikes by the status endpoint, which may lie.

--- a/include/eelgrassledge/membership/zone_coordinator.hpp
+++ b/include/eelgrassledge/membership/zone_coordinator.hpp
@@ -185,6 +185,7 @@
     auto step_down(time_point now) -> void;
     auto next_reporter_op(time_point now) -> std::optional<store_op>;
     auto next_follower_op(time_point now) -> std::optional<store_op>;
+    [[nodiscard]] auto may_step_down(time_point now) -> bool;
     auto wanted_assignment(time_point now) -> std::optional<assignment>;
     [[nodiscard]] auto live_members(time_point now) const -> std::vector<member_info>;
     [[nodiscard]] auto lease_valid(time_point now) const -> bool;
@@ -221,6 +222,7 @@
     time_point became_reporter_{};
     time_point next_read_{};
     std::optional<assignment> unclear_write_;
+    std::optional<time_point> handed_over_since_;
     bool assignment_current_ = false;  ///< The zone's assignment was read since this daemon became reporter.
     mod_revision assignment_modified_;
     time_point next_assignment_write_{};
--- a/src/broker/upstream_broker.cpp
+++ b/src/broker/upstream_broker.cpp
@@ -80,9 +80,6 @@
     if (request.strikes >= STRIKES_TO_QUARANTINE) {
         return result_code::suspect_request;
     }
-    if (request.strikes > 0 && ramp_.current() == warmth::unknown) {
-        return result_code::suspect_request;
-    }
     if (now < unreachable_until_) {
         return result_code::upstream_unreachable;
     }
@@ -261,12 +258,14 @@
     -> void {
     ramp_.connection_failed();
     auto strike = [&](const sub_request& request) {
-        if (strikes_here_.contains(request.print)) {
+        auto strikes = request.strikes + 1;
+        auto& known = strikes_here_[request.print];
+        if (known >= strikes) {
             return;
         }
-        strikes_here_[request.print] = request.strikes + 1;
-        out.push_back(strike_action{request.print, request.strikes + 1, false});
-        flush_fingerprint(request.print, request.strikes + 1, out);
+        known = strikes;
+        out.push_back(strike_action{request.print, strikes, false});
+        flush_fingerprint(request.print, strikes, out);
     };
     strike(ended.request);
     for (const auto& [key, running] : running_) {
--- a/src/membership/zone_coordinator.cpp
+++ b/src/membership/zone_coordinator.cpp
@@ -10,6 +10,8 @@
 constexpr duration ELECTION_STEP = milliseconds{300};
 /// Longest pause between two tries to read the reporter's key while the store does not answer.
 constexpr duration LONGEST_ELECTION_PAUSE = seconds{4};
+/// Time for which a leaving reporter goes on granting authority after it has handed everything over.
+constexpr duration HAND_OVER_LINGER = milliseconds{1000};
 /// Least time between two changes of a zone's assignment.
 constexpr duration ASSIGNMENT_INTERVAL = milliseconds{300};
 /// Time between syncs with other zones' reporters and with seeds.
@@ -103,10 +105,22 @@
             return write_assignment_op{*wanted, assignment_modified_};
         }
     }
-    if (self_.leaving && !owns_any(self_.instance) && pending_releases_.empty()) {
-        return revoke_op{*lease_};
+    return may_step_down(now) ? std::optional<store_op>{revoke_op{*lease_}} : std::nullopt;
+}
+
+// A leaving reporter stays until its successors know of what they own, and for as long as they need to prove
+// it warm.
+auto zone_coordinator::may_step_down(time_point now) -> bool {
+    auto handed_over = self_.leaving && !owns_any(self_.instance) && pending_releases_.empty() &&
+                       uninformed_members().empty();
+    if (!handed_over) {
+        handed_over_since_.reset();
+        return false;
     }
-    return std::nullopt;
+    if (!handed_over_since_) {
+        handed_over_since_ = now;
+    }
+    return now >= *handed_over_since_ + HAND_OVER_LINGER;
 }
 
 auto zone_coordinator::wanted_assignment(time_point now) -> std::optional<assignment> {
@@ -644,6 +658,10 @@
         return;
     }
     if (!reply.is_reporter) {
+        if (address == reporter_address_) {
+            reporter_address_.clear();
+            reporter_heard_ = std::min(reporter_heard_, now - times_.reporter_timeout);
+        }
         if (reporter_heard_ + times_.reporter_timeout <= now && !reply.reporter_address.empty()) {
             reporter_address_ = reply.reporter_address;
         }
