Settle strikes by a probe that runs nothing

Two connections to searchers that had not fallen failed under one innocent request within 2 ms (why is not found yet), each counted as a strike, and with no other request to either searcher nothing ever withdrew them. Ruled out: the status endpoint, which may lie.

--- a/include/eelgrassledge/broker/upstream_broker.hpp
+++ b/include/eelgrassledge/broker/upstream_broker.hpp
@@ -172,6 +172,7 @@
     [[nodiscard]] auto is_silent(const running_request& r, time_point now) const -> bool;
     auto give_up_silent(const sub_key& key, time_point now, broker_actions& out) -> void;
     auto connection_lost(const running_request& ended, time_point now, broker_actions& out) -> void;
+    auto probe_for_strikes(time_point now, broker_actions& out) -> void;
     auto settle_strikes(bool restarted, broker_actions& out) -> void;
     auto answered_by_upstream(const running_request& ended, const send_outcome& outcome, time_point now,
                               broker_actions& out) -> void;
@@ -190,6 +191,7 @@
     std::set<std::pair<time_point, sub_key>> queued_deadlines_;
     std::vector<holding> holdings_;
     std::map<fingerprint, std::uint32_t> strikes_here_;  ///< Strikes not yet confirmed by a restart.
+    std::uint64_t probes_ = 0;
     duration service_time_{0};
     time_point last_answer_{};
     time_point back_off_until_{};
--- a/src/broker/upstream_broker.cpp
+++ b/src/broker/upstream_broker.cpp
@@ -26,6 +26,9 @@
 constexpr duration COLD_WAIT_LIMIT = milliseconds{30};
 /// Canary requests are queued as if they had started this much earlier: all of their query waits for them.
 constexpr duration CANARY_HEAD_START = seconds{60};
+/// Link of requests that the broker sends for itself.
+const link_id PROBE_LINK{~std::uint64_t{0}};
+constexpr duration PROBE_TIMEOUT = milliseconds{1000};
 /// Number of strikes at which a fingerprint is not run again.
 constexpr std::uint32_t STRIKES_TO_QUARANTINE = 2;
 
@@ -258,6 +261,9 @@
     -> void {
     ramp_.connection_failed();
     auto strike = [&](const sub_request& request) {
+        if (request.key.link == PROBE_LINK) {
+            return;
+        }
         auto strikes = request.strikes + 1;
         auto& known = strikes_here_[request.print];
         if (known >= strikes) {
@@ -303,9 +309,25 @@
         flush(result_code::upstream_leaving, out);
     }
     dispatch(now, out);
+    probe_for_strikes(now, out);
     return out;
 }
 
+// Asks for a snapshot that nobody holds: the refusal runs nothing and shows the start id.
+auto upstream_broker::probe_for_strikes(time_point now, broker_actions& out) -> void {
+    auto settled = strikes_here_.empty() || ramp_.current() != warmth::unknown;
+    if (settled || !running_.empty() || queued() > 0 || !may_send_now(now)) {
+        return;
+    }
+    sub_request probe;
+    probe.key = {PROBE_LINK, sub_request_id{++probes_}};
+    probe.upstream = name_;
+    probe.start = now;
+    probe.deadline = now + PROBE_TIMEOUT;
+    send(std::move(probe), now, out);
+    running_.rbegin()->second.abandoned = true;
+}
+
 auto upstream_broker::set_leaving(bool leaving, time_point now) -> broker_actions {
     broker_actions out;
     leaving_listed_ = leaving;
--- a/tests/unit/upstream_broker.cpp
+++ b/tests/unit/upstream_broker.cpp
@@ -298,6 +298,23 @@
             CHECK(std::get<strike_action>(b.actions[1]).strikes == 0);
         }
     }
+    SECTION("are settled by a probe that runs nothing when no other request comes") {
+        b.finish(2, 0, result_code::upstream_failed);
+        b.now = at_ms(1000);
+        b.actions.clear();
+        for (auto& action : b.broker.polled(upstream_status{start_id{1}, false, {}}, b.now)) {
+            b.actions.push_back(action);
+        }
+        REQUIRE(b.count<send_action>() == 1);
+        auto probe = b.last_send().request;
+        CHECK(probe.snapshot == snapshot_id{});
+        send_outcome refused;
+        refused.code = result_code::wrong_snapshot;
+        refused.start = start_id{1};
+        auto actions = b.broker.completed(probe.key, refused, b.now);
+        REQUIRE(actions.size() == 2);
+        CHECK(std::get<strike_action>(actions[0]).strikes == 0);
+    }
     SECTION("are made known to an entry that sends one without knowing") {
         auto again = b.request(4);
         again.print = fingerprint{1};
