Test the command line through its own process

Cause: config check, placements, status and the exit codes had been run only by hand and in the demo. Change: process tests for the command line with and without daemons.

--- /dev/null
+++ b/tests/process/command_line.cpp
@@ -0,0 +1,87 @@
+#include <catch2/catch.hpp>
+#include <fstream>
+
+#include "cluster.hpp"
+
+using namespace eelgrassledge;
+using namespace eelgrassledge::test;
+
+namespace {
+
+struct command_result {
+    int code = 0;
+    std::string text;
+};
+
+auto run_command(const std::vector<std::string>& arguments) -> command_result {
+    auto log = "/tmp/eelgrassledge-test-cli." + std::to_string(::getpid());
+    std::remove(log.c_str());
+    std::vector<std::string> command{std::string{EELGRASSLEDGE_BUILD_DIR} + "/tools/eelgrassledge"};
+    command.insert(command.end(), arguments.begin(), arguments.end());
+    child_process process{command, log};
+    auto code = process.wait_for_end(seconds{30});
+    command_result result{code, read_text(log)};
+    std::remove(log.c_str());
+    return result;
+}
+
+auto contains(const std::string& text, const std::string& part) -> bool {
+    return text.find(part) != std::string::npos;
+}
+
+}  // namespace
+
+TEST_CASE("the command line without a daemon", "[path]") {
+    auto examples = std::string{EELGRASSLEDGE_SOURCE_DIR} + "/examples/";
+    SECTION("finds each example valid") {
+        for (const auto* name : {"etiket-zdrave.ini", "wadi-tracks.ini", "demo.ini"}) {
+            auto checked = run_command({"config", "check", examples + name});
+            CHECK(checked.code == 0);
+            CHECK(contains(checked.text, "valid: 4 zones"));
+        }
+    }
+    SECTION("lists every fault of a broken copy") {
+        auto broken = "/tmp/eelgrassledge-test-broken." + std::to_string(::getpid());
+        std::ofstream{broken} << read_text(examples + "demo.ini")
+                              << "[service extra]\nslots = none\nspeed = 1\n[zone]\n";
+        auto checked = run_command({"config", "check", broken});
+        CHECK(checked.code == 3);
+        CHECK(contains(checked.text, "[service extra] slots: 'none' is not a whole number"));
+        CHECK(contains(checked.text, "[service extra] speed: is not a known key"));
+        CHECK(contains(checked.text, "[zone] expected a name"));
+        std::remove(broken.c_str());
+    }
+    SECTION("says what is wrong with its own arguments, and when no daemon answers") {
+        CHECK(run_command({"fly"}).code == 2);
+        CHECK(run_command({"--no-such-option"}).code == 2);
+        CHECK(run_command({"--daemon", "nowhere", "status"}).code == 2);
+        auto unreachable = run_command({"--daemon", free_address(), "status"});
+        CHECK(unreachable.code == 5);
+        CHECK(contains(unreachable.text, "error 504 daemon_unreachable"));
+        CHECK(run_command({"--help"}).code == 0);
+    }
+}
+
+TEST_CASE("the command line with daemons", "[path]") {
+    cluster c{{}};
+    REQUIRE(c.wait_until_serving());
+    auto on_daemon = [&](std::vector<std::string> arguments) {
+        std::vector<std::string> all{"--daemon", c.daemon_addresses(), "--token", "operator-token",
+                                     "--key",    "caller-key"};
+        all.insert(all.end(), arguments.begin(), arguments.end());
+        return run_command(all);
+    };
+    auto found = on_daemon({"search", "--service", "label-desk", "--query", "rye", "--deadline-ms", "3000"});
+    CHECK(found.code == 0);
+    CHECK(contains(found.text, "complete, snapshot 1, shards 4/4"));
+    CHECK(on_daemon({"search", "--service", "none", "--query", "rye"}).code == 1);
+    CHECK(contains(on_daemon({"config", "show"}).text, "; revision 1 by test"));
+    auto out = on_daemon({"zone", "out", "b"});
+    CHECK(out.code == 0);
+    CHECK(contains(out.text, "accepted as revision 2"));
+    CHECK(on_daemon({"zone", "out", "nowhere"}).code == 1);
+    CHECK(eventually(seconds{5},
+                     [&] { return contains(on_daemon({"status"}).text, "revision 2 in force everywhere"); }));
+    CHECK(on_daemon({"zone", "in", "b"}).code == 0);
+    CHECK(contains(on_daemon({"metrics"}).text, "eelgrassledge_revision_in_force"));
+}
