--- a/include/eelgrassledge/broker/upstream_broker.hpp
+++ b/include/eelgrassledge/broker/upstream_broker.hpp
@@ -59,14 +59,21 @@
     bool close_connection = false;
 };
 
-/// Reports that the upstream vanished while it ran a request, or that such a report proved wrong.
+enum class strike_change : std::uint8_t {
+    added,      ///< The upstream vanished while it ran the fingerprint.
+    withdrawn,  ///< The upstream proved to be the same process as before.
+    cleared,    ///< The fingerprint ran to its end.
+};
+
+/// Reports a change in the strikes of a fingerprint.
 struct strike_action {
     fingerprint print;
-    std::uint32_t strikes = 1;  ///< Strikes of the fingerprint after this report.
-    bool withdrawn = false;
+    strike_change change = strike_change::added;
+    std::uint32_t strikes = 1;  ///< With `added`: strikes of the fingerprint, this one included.
 };
 
-using broker_action = std::variant<send_action, answer_action, slow_action, abort_action, strike_action>;
+using broker_action =
+    std::variant<send_action, answer_action, slow_action, abort_action, strike_action>;
 using broker_actions = std::vector<broker_action>;
 
 /// How a sub-request that was sent ended.
@@ -174,6 +181,7 @@
     auto connection_lost(const running_request& ended, time_point now, broker_actions& out) -> void;
     auto probe_for_strikes(time_point now, broker_actions& out) -> void;
     auto settle_strikes(bool restarted, broker_actions& out) -> void;
+    auto note_start(start_id start, time_point sent, broker_actions& out) -> void;
     auto answered_by_upstream(const running_request& ended, const send_outcome& outcome, time_point now,
                               broker_actions& out) -> void;
     auto back_off(time_point now) -> void;
@@ -191,6 +199,8 @@
     std::set<std::pair<time_point, sub_key>> queued_deadlines_;
     std::vector<holding> holdings_;
     std::map<fingerprint, std::uint32_t> strikes_here_;  ///< Strikes not yet confirmed by a restart.
+    std::optional<start_id> start_seen_;                 ///< Newest start known before those strikes.
+    time_point last_strike_{};
     std::uint64_t probes_ = 0;
     duration service_time_{0};
     time_point last_answer_{};
--- a/include/eelgrassledge/broker/warm_up.hpp
+++ b/include/eelgrassledge/broker/warm_up.hpp
@@ -50,9 +50,8 @@
     /// Records that a sub-request was sent.
     auto sent(time_point now) -> void;
 
-    /// Records an answer with the upstream's start id. Returns false when the
-    /// start id shows that the upstream restarted.
-    auto answered(start_id start) -> bool;
+    /// Records an answer with the upstream's start id; another start than before begins a new warm-up.
+    auto answered(start_id start) -> void;
 
     /// Records that a connection failed: the upstream may have restarted.
     auto connection_failed() -> void;
--- a/include/eelgrassledge/entry/entry_service.hpp
+++ b/include/eelgrassledge/entry/entry_service.hpp
@@ -12,6 +12,7 @@
 #include <variant>
 #include <vector>
 
+#include "eelgrassledge/core/suspicion.hpp"
 #include "eelgrassledge/entry/admission_control.hpp"
 #include "eelgrassledge/entry/search.hpp"
 #include "eelgrassledge/entry/service_view.hpp"
@@ -124,8 +125,8 @@
     /// Records that the connection to a broker was lost with everything in flight on it.
     auto broker_lost(const instance_id& broker, time_point now) -> entry_actions;
 
-    /// Records how often upstreams vanished while they ran a fingerprint.
-    auto suspect(fingerprint print, std::uint32_t strikes) -> void;
+    /// Merges what other daemons know about a fingerprint into what is known here.
+    auto suspect(fingerprint print, const suspicion& state) -> void;
 
     /// Acts on the passage of time.
     auto advance(time_point now) -> entry_actions;
@@ -222,7 +223,7 @@
     std::set<std::pair<time_point, query_id>> wakeups_;
     std::unordered_set<fingerprint> cleared_;
     std::deque<fingerprint> cleared_order_;
-    std::unordered_map<fingerprint, std::uint32_t> suspects_;
+    std::unordered_map<fingerprint, suspicion> suspects_;
 };
 
 }  // namespace eelgrassledge
--- a/include/eelgrassledge/membership/zone_coordinator.hpp
+++ b/include/eelgrassledge/membership/zone_coordinator.hpp
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "eelgrassledge/broker/upstream_broker.hpp"
+#include "eelgrassledge/core/suspicion.hpp"
 #include "eelgrassledge/membership/assignment.hpp"
 #include "eelgrassledge/platform/store.hpp"
 
@@ -34,7 +35,7 @@
 
 struct suspect_report {
     fingerprint print;
-    std::uint32_t strikes = 0;
+    suspicion state;
     duration age{0};
 };
 
@@ -135,8 +136,8 @@
     /// Upstreams no longer owned on which this daemon still runs work.
     auto report_busy(std::vector<upstream_id> busy) -> void;
 
-    /// Records strikes of a fingerprint from this daemon; zero withdraws those it reported.
-    auto report_suspect(fingerprint print, std::uint32_t strikes, time_point now) -> void;
+    /// Merges what this daemon found out about a fingerprint into what is known of it.
+    auto report_suspect(fingerprint print, const suspicion& state, time_point now) -> void;
 
     /// Marks this daemon as leaving: it takes no upstreams and passes the reporter's role on.
     auto leave() -> void;
@@ -252,11 +253,11 @@
     std::vector<upstream_id> leaving_upstreams_;
     std::vector<warm_up_report> own_warm_ups_;
     std::vector<upstream_id> own_busy_;
-    struct suspect_state {
-        std::uint32_t strikes = 0;
+    struct suspect_entry {
+        suspicion state;
         time_point since{};
     };
-    std::map<fingerprint, suspect_state> suspects_;
+    std::map<fingerprint, suspect_entry> suspects_;
     std::uint64_t version_ = 0;
 };
 
--- a/include/eelgrassledge/runtime/application.hpp
+++ b/include/eelgrassledge/runtime/application.hpp
@@ -82,7 +82,7 @@
     [[nodiscard]] auto peer_address_of(const instance_id& instance) -> std::string;
     auto route_to_broker(const instance_id& broker, sub_request request) -> void;
     auto on_broker_message(broker_message message) -> void;
-    auto on_strike(fingerprint print, std::uint32_t strikes) -> void;
+    auto on_strike(fingerprint print, const suspicion& state) -> void;
     [[nodiscard]] auto make_peer_hooks() -> peer_hooks;
 
     daemon_settings settings_;
--- a/include/eelgrassledge/runtime/broker_runtime.hpp
+++ b/include/eelgrassledge/runtime/broker_runtime.hpp
@@ -23,7 +23,7 @@
     /// Sends an answer or notice back on the link by which the sub-request came.
     std::function<void(broker_message)> on_message;
     /// A request was running at an upstream that vanished; or, withdrawn, the upstream had not vanished.
-    std::function<void(fingerprint, std::uint32_t strikes)> on_strike;
+    std::function<void(fingerprint, const suspicion&)> on_strike;
 };
 
 /// Brokers of all upstreams that this daemon owns: one decision object for each, each under its own lock,
@@ -82,6 +82,7 @@
     auto on_sent(const std::shared_ptr<upstream_shard>& shard, const sub_key& key,
                  const send_outcome& outcome) -> void;
     auto count_answer(const sub_answer& answer) -> void;
+    auto record_strike(const strike_action& strike) -> void;
 
     broker_hooks hooks_;
     wakeup_thread& timers_;
--- a/schema/peer.capnp
+++ b/schema/peer.capnp
@@ -90,6 +90,7 @@
   fingerprint @0 :UInt64;
   strikes @1 :UInt32;
   ageMs @2 :UInt32;
+  withdrawals @3 :UInt32;
 }
 
 struct Configuration {
--- a/src/broker/upstream_broker.cpp
+++ b/src/broker/upstream_broker.cpp
@@ -222,8 +222,8 @@
 auto upstream_broker::answered_by_upstream(const running_request& ended, const send_outcome& outcome,
                                            time_point now, broker_actions& out) -> void {
     if (outcome.start != start_id{}) {
-        auto same = ramp_.answered(outcome.start);
-        settle_strikes(!same, out);
+        ramp_.answered(outcome.start);
+        note_start(outcome.start, ended.sent, out);
         if (leaving_start_ && *leaving_start_ != outcome.start) {
             leaving_told_ = false;
             leaving_start_.reset();
@@ -240,7 +240,7 @@
                             : (service_time_ * (SERVICE_TIME_WEIGHT - 1) + took) / SERVICE_TIME_WEIGHT;
         back_off_ = duration{0};
         if (ended.request.strikes > 0) {
-            out.push_back(strike_action{ended.request.print, 0, true});
+            out.push_back(strike_action{ended.request.print, strike_change::cleared, 0});
         }
     } else if (outcome.code == result_code::upstream_shedding) {
         ramp_.strained(now);
@@ -270,31 +270,46 @@
             return;
         }
         known = strikes;
-        out.push_back(strike_action{request.print, strikes, false});
+        last_strike_ = now;
+        out.push_back(strike_action{request.print, strike_change::added, strikes});
         flush_fingerprint(request.print, strikes, out);
     };
     strike(ended.request);
     for (const auto& [key, running] : running_) {
         strike(running.request);
     }
-    (void)now;
 }
 
 auto upstream_broker::settle_strikes(bool restarted, broker_actions& out) -> void {
     if (!restarted) {
         for (const auto& [print, strikes] : strikes_here_) {
-            out.push_back(strike_action{print, strikes - 1, true});
+            out.push_back(strike_action{print, strike_change::withdrawn, 0});
         }
     }
     strikes_here_.clear();
 }
 
+// A strike is withdrawn only when the process that answers is known to be the one that ran the request, and
+// answers what was sent since: an answer to earlier work may have been on its way when the process ended. An
+// upstream whose start was never seen may have restarted.
+auto upstream_broker::note_start(start_id start, time_point sent, broker_actions& out) -> void {
+    auto restarted = start_seen_ != start;
+    if (!restarted && sent <= last_strike_) {
+        return;
+    }
+    settle_strikes(restarted, out);
+    start_seen_ = start;
+}
+
 auto upstream_broker::polled(const std::optional<upstream_status>& status, time_point now) -> broker_actions {
     broker_actions out;
     if (!status) {
         return out;
     }
     holdings_ = status->holdings;
+    if (strikes_here_.empty()) {
+        start_seen_ = status->start;
+    }
     auto known = ramp_.state();
     if (known && known->start != status->start && running_.empty()) {
         ramp_.connection_failed();
@@ -597,6 +612,7 @@
 auto upstream_broker::inherit(const warm_up_state& state) -> void {
     if (!ramp_.state()) {
         ramp_.inherit(state);
+        start_seen_ = state.start;
     }
 }
 
--- a/src/broker/warm_up.cpp
+++ b/src/broker/warm_up.cpp
@@ -61,12 +61,10 @@
     last_sent_ = now;
 }
 
-auto warm_up_ramp::answered(start_id start) -> bool {
-    auto same = known_ && known_->start == start;
-    auto restarted = known_ && !same;
-    if (!same) {
+auto warm_up_ramp::answered(start_id start) -> void {
+    if (!known_ || known_->start != start) {
         restart(start);
-        return !restarted;
+        return;
     }
     if (warmth_ == warmth::unknown) {
         warmth_ = known_->warm ? warmth::warm : warmth::cold;
@@ -77,7 +75,6 @@
         warmth_ = warmth::warm;
         known_->warm = true;
     }
-    return true;
 }
 
 auto warm_up_ramp::connection_failed() -> void {
--- a/src/entry/entry_service.cpp
+++ b/src/entry/entry_service.cpp
@@ -145,7 +145,7 @@
 auto entry_service::submit(search_request request, time_point now) -> submitted {
     auto known = suspects_.find(request.print);
     if (known != suspects_.end()) {
-        request.strikes = std::max(request.strikes, known->second);
+        request.strikes = std::max(request.strikes, known->second.strikes);
     }
     if (request.strikes >= STRIKES_TO_QUARANTINE) {
         return refuse(request, result_code::quarantined, std::nullopt);
@@ -389,14 +389,16 @@
     }
 }
 
-auto entry_service::suspect(fingerprint print, std::uint32_t strikes) -> void {
-    if (strikes == 0) {
+auto entry_service::suspect(fingerprint print, const suspicion& state) -> void {
+    auto& known = suspects_[print];
+    known = merged(known, state);
+    if (known.strikes == 0) {
         suspects_.erase(print);
         return;
     }
-    cleared_.erase(print);
-    std::erase(cleared_order_, print);
-    suspects_[print] = strikes;
+    if (cleared_.erase(print) > 0) {
+        std::erase(cleared_order_, print);
+    }
 }
 
 auto entry_service::reject(query& q, shard_index shard, const upstream_id& upstream, const sub_answer& answer,
@@ -435,7 +437,8 @@
 auto entry_service::fail_canary(query& q, shard_index shard, const sub_answer& answer, time_point now,
                                 entry_actions& out) -> bool {
     q.request.strikes = std::max(q.request.strikes, answer.strikes);
-    suspects_[q.request.print] = q.request.strikes;
+    auto& known = suspects_[q.request.print];
+    known = with_strikes(known, q.request.strikes);
     if (q.request.strikes >= STRIKES_TO_QUARANTINE) {
         withdraw_all(q, out);
         for (auto& state : q.shards) {
--- a/src/membership/zone_coordinator.cpp
+++ b/src/membership/zone_coordinator.cpp
@@ -18,8 +18,6 @@
 constexpr duration RELAY_INTERVAL = milliseconds{1000};
 /// Time between two calls by which a reporter asks a member to sync at once.
 constexpr duration NUDGE_INTERVAL = milliseconds{100};
-/// How long a suspect fingerprint is remembered.
-constexpr duration SUSPECT_LIFETIME = seconds{3600};
 /// A lease is renewed this often within its time to live.
 constexpr int KEEP_ALIVES_PER_LEASE = 3;
 
@@ -443,16 +441,15 @@
     own_busy_ = std::move(busy);
 }
 
-auto zone_coordinator::report_suspect(fingerprint print, std::uint32_t strikes, time_point now) -> void {
-    suspects_[print] = {strikes, now};
-    ++version_;
+auto zone_coordinator::report_suspect(fingerprint print, const suspicion& state, time_point now) -> void {
+    merge_suspects({{print, state, duration{0}}}, now);
 }
 
 auto zone_coordinator::suspects(time_point now) const -> std::vector<suspect_report> {
     std::vector<suspect_report> reports;
-    for (const auto& [print, state] : suspects_) {
-        if (now - state.since < SUSPECT_LIFETIME) {
-            reports.push_back({print, state.strikes, now - state.since});
+    for (const auto& [print, entry] : suspects_) {
+        if (now - entry.since < SUSPECT_LIFETIME) {
+            reports.push_back({print, entry.state, now - entry.since});
         }
     }
     return reports;
@@ -460,15 +457,12 @@
 
 auto zone_coordinator::merge_suspects(const std::vector<suspect_report>& reports, time_point now) -> void {
     for (const auto& report : reports) {
-        auto since = now - report.age;
-        auto known = suspects_.find(report.print);
-        if (known != suspects_.end() && known->second.since >= since) {
-            continue;
-        }
-        if (known == suspects_.end() || known->second.strikes != report.strikes) {
+        auto [known, is_new] = suspects_.try_emplace(report.print);
+        auto state = merged(known->second.state, report.state);
+        if (is_new || state != known->second.state) {
+            known->second = {state, now - report.age};
             ++version_;
         }
-        suspects_[report.print] = {report.strikes, since};
     }
     std::erase_if(suspects_, [&](const auto& item) { return now - item.second.since >= SUSPECT_LIFETIME; });
 }
--- a/src/peer/wire_conversions.cpp
+++ b/src/peer/wire_conversions.cpp
@@ -107,7 +107,8 @@
         from, [&](unsigned n) { return to.initSuspects(n); },
         [](const suspect_report& report, auto& list, unsigned i) {
             list[i].setFingerprint(report.print.value());
-            list[i].setStrikes(report.strikes);
+            list[i].setStrikes(report.state.strikes);
+            list[i].setWithdrawals(report.state.withdrawals);
             list[i].setAgeMs(to_wire_us(report.age / 1000));
         });
 }
@@ -116,8 +117,8 @@
 auto suspects_from_wire(Owner from) -> std::vector<suspect_report> {
     std::vector<suspect_report> reports;
     for (auto item : from.getSuspects()) {
-        reports.push_back(
-            {fingerprint{item.getFingerprint()}, item.getStrikes(), milliseconds{item.getAgeMs()}});
+        suspicion state{item.getWithdrawals(), item.getStrikes()};
+        reports.push_back({fingerprint{item.getFingerprint()}, state, milliseconds{item.getAgeMs()}});
     }
     return reports;
 }
--- a/src/runtime/application.cpp
+++ b/src/runtime/application.cpp
@@ -73,7 +73,7 @@
     entry_ = std::make_unique<entry_runtime>(std::move(entry), timers_, metrics_, log_);
     broker_hooks broker;
     broker.on_message = [this](broker_message message) { on_broker_message(std::move(message)); };
-    broker.on_strike = [this](fingerprint print, std::uint32_t strikes) { on_strike(print, strikes); };
+    broker.on_strike = [this](fingerprint print, const suspicion& state) { on_strike(print, state); };
     broker_ = std::make_unique<broker_runtime>(std::move(broker), timers_, metrics_, log_);
     peers_ = std::make_unique<peer_network>(settings_.peer_address, make_peer_hooks());
     if (!peers_->listening()) {
@@ -168,12 +168,12 @@
     }
 }
 
-auto application::on_strike(fingerprint print, std::uint32_t strikes) -> void {
+auto application::on_strike(fingerprint print, const suspicion& state) -> void {
     log_(log_level::warning, "suspect_request",
-         {{"fingerprint", std::to_string(print.value())}, {"strikes", std::to_string(strikes)}});
+         {{"fingerprint", std::to_string(print.value())}, {"strikes", std::to_string(state.strikes)}});
     metrics_.count("eelgrassledge_strikes_total", {});
     std::scoped_lock guard{coordinator_.lock};
-    coordinator_.decisions.report_suspect(print, strikes, monotonic_now());
+    coordinator_.decisions.report_suspect(print, state, monotonic_now());
 }
 
 // ---- control loop ----
--- a/src/runtime/broker_runtime.cpp
+++ b/src/runtime/broker_runtime.cpp
@@ -171,8 +171,7 @@
                            {{"connection", aborted->close_connection ? "closed" : "kept"}});
             client_.abort(address_of(*shard), *aborted);
         } else if (auto* strike = std::get_if<strike_action>(&action)) {
-            suspects_.set(strike->print, strike->strikes);
-            hooks_.on_strike(strike->print, strike->strikes);
+            record_strike(*strike);
         }
     }
 }
@@ -246,10 +245,28 @@
     }
 }
 
+auto broker_runtime::record_strike(const strike_action& strike) -> void {
+    auto state = suspects_.change(strike.print, monotonic_now(), [&](const suspicion& known) {
+        switch (strike.change) {
+            case strike_change::added:
+                return with_strikes(known, strike.strikes);
+            case strike_change::withdrawn:
+                return with_one_withdrawn(known);
+            case strike_change::cleared:
+                break;
+        }
+        return cleared(known);
+    });
+    hooks_.on_strike(strike.print, state);
+}
+
 auto broker_runtime::learn_suspects(const std::vector<suspect_report>& reports) -> void {
-    for (const auto& suspect : reports) {
-        suspects_.set(suspect.print, suspect.strikes);
+    auto now = monotonic_now();
+    for (const auto& told : reports) {
+        suspects_.change(told.print, now - told.age,
+                         [&](const suspicion& known) { return merged(known, told.state); });
     }
+    suspects_.forget_before(now - SUSPECT_LIFETIME);
 }
 
 auto broker_runtime::poll_statuses() -> void {
--- a/src/runtime/entry_runtime.cpp
+++ b/src/runtime/entry_runtime.cpp
@@ -109,7 +109,7 @@
         shard->service.configure(spec);
         shard->service.view().set_routes(routes);
         for (const auto& report : suspects) {
-            shard->service.suspect(report.print, report.strikes);
+            shard->service.suspect(report.print, report.state);
         }
     }
     std::unique_lock guard{lock_};
--- a/tests/support/fake_broker.hpp
+++ b/tests/support/fake_broker.hpp
@@ -86,6 +86,14 @@
         return std::nullopt;
     }
 
+    /// The first action of a kind; fails when there is none.
+    template <class Action>
+    [[nodiscard]] auto first() const -> Action {
+        auto found =
+            std::ranges::find_if(actions, [](const auto& a) { return std::holds_alternative<Action>(a); });
+        return std::get<Action>(*found);
+    }
+
     template <class Action>
     [[nodiscard]] auto count() const -> std::size_t {
         return static_cast<std::size_t>(
--- a/tests/threads/sharded_state.cpp
+++ b/tests/threads/sharded_state.cpp
@@ -60,7 +60,9 @@
     suspect_table table;
     on_all_threads([&](int t) {
         for (int i = 0; i < ROUNDS; ++i) {
-            table.set(fingerprint{static_cast<std::uint64_t>(i)}, static_cast<std::uint32_t>(t));
+            table.change(
+                fingerprint{static_cast<std::uint64_t>(i)}, time_point{milliseconds{i}},
+                [&](const suspicion& known) { return with_strikes(known, static_cast<std::uint32_t>(t)); });
             (void)table.strikes(fingerprint{static_cast<std::uint64_t>(i + 1)});
         }
     });
--- /dev/null
+++ b/tests/unit/suspicion.cpp
@@ -0,0 +1,81 @@
+#include "eelgrassledge/core/suspicion.hpp"
+
+#include <catch2/catch.hpp>
+
+#include "eelgrassledge/broker/suspect_table.hpp"
+#include "eelgrassledge/membership/zone_coordinator.hpp"
+#include "test_clock.hpp"
+
+using namespace eelgrassledge;
+using namespace eelgrassledge::test;
+
+TEST_CASE("suspicions of one fingerprint") {
+    SECTION("merge to the same value in any order") {
+        std::vector<suspicion> states{{0, 1}, {0, 2}, {1, 1}, {1, 0}, {2, 1}};
+        for (const auto& a : states) {
+            for (const auto& b : states) {
+                CHECK(merged(a, b) == merged(b, a));
+                for (const auto& c : states) {
+                    CHECK(merged(merged(a, b), c) == merged(a, merged(b, c)));
+                }
+            }
+        }
+    }
+    SECTION("keep the other strikes when one is withdrawn") {
+        CHECK(with_one_withdrawn({0, 2}) == suspicion{1, 1});
+        CHECK(with_one_withdrawn({0, 0}) == suspicion{1, 0});
+    }
+    SECTION("are over when the fingerprint ran to its end") {
+        CHECK(merged({0, 2}, cleared({0, 2})).strikes == 0);
+    }
+}
+
+TEST_CASE("the suspect table") {
+    // Regression: issue 9 point 6. A copy read before a strike was recorded was applied after it, and the
+    // strike was lost.
+    suspect_table table;
+    fingerprint poison{5};
+    auto merge = [](suspicion report) {
+        return [report](const suspicion& known) { return merged(known, report); };
+    };
+    table.change(poison, at_ms(10), [](const suspicion& known) { return with_strikes(known, 2); });
+    SECTION("keeps a strike when an older copy arrives") {
+        table.change(poison, at_ms(5), merge({0, 1}));
+        CHECK(table.strikes(poison) == 2);
+    }
+    SECTION("takes a withdrawal from elsewhere") {
+        table.change(poison, at_ms(20), merge({1, 1}));
+        CHECK(table.strikes(poison) == 1);
+    }
+    SECTION("drops what has not changed for long") {
+        table.forget_before(at_ms(10));
+        CHECK(table.strikes(poison) == 2);
+        table.forget_before(at_ms(11));
+        CHECK(table.strikes(poison) == 0);
+    }
+}
+
+TEST_CASE("a coordinator's suspects") {
+    member_info self;
+    self.instance = instance_id{"i1"};
+    self.zone = zone_id{"a"};
+    zone_coordinator decisions{self, {}, {}, 1};
+    fingerprint poison{5};
+    auto known = [&](std::int64_t ms) { return decisions.suspects(at_ms(ms)); };
+    decisions.report_suspect(poison, {0, 2}, at_ms(10));
+    SECTION("lose no strike to a later report of fewer") {
+        decisions.report_suspect(poison, {0, 1}, at_ms(20));
+        REQUIRE(known(20).size() == 1);
+        CHECK(known(20).front().state == suspicion{0, 2});
+    }
+    SECTION("follow a withdrawal, also when a copy from before arrives after it") {
+        decisions.report_suspect(poison, {1, 1}, at_ms(20));
+        decisions.report_suspect(poison, {0, 2}, at_ms(30));
+        CHECK(known(30).front().state == suspicion{1, 1});
+    }
+    SECTION("are forgotten after their lifetime") {
+        auto after = std::chrono::duration_cast<milliseconds>(SUSPECT_LIFETIME).count() + 10;
+        CHECK(known(after - 1).size() == 1);
+        CHECK(known(after).empty());
+    }
+}
--- a/tests/unit/upstream_broker.cpp
+++ b/tests/unit/upstream_broker.cpp
@@ -273,8 +273,7 @@
         CHECK(b.count<strike_action>() == 2);
         for (const auto& action : b.actions) {
             if (const auto* strike = std::get_if<strike_action>(&action)) {
-                CHECK(strike->withdrawn);
-                CHECK(strike->strikes == 0);
+                CHECK(strike->change == strike_change::withdrawn);
             }
         }
     }
@@ -291,13 +290,19 @@
         CHECK(b.sent() == ids{4});
         SECTION("when it is lost again") {
             b.finish(4, 0, result_code::upstream_failed);
-            CHECK(std::get<strike_action>(b.actions[1]).strikes == 2);
+            CHECK(b.first<strike_action>().strikes == 2);
         }
         SECTION("and is cleared when it is answered") {
             b.finish(4, 2);
-            CHECK(std::get<strike_action>(b.actions[1]).strikes == 0);
+            CHECK(b.first<strike_action>().change == strike_change::cleared);
         }
     }
+    SECTION("stay suspects when an answer arrives that was on its way before") {
+        // Regression: issue 9 point 6. The answer was taken for one of a process that still lives.
+        b.actions.clear();
+        b.finish(2, 1);
+        CHECK(b.count<strike_action>() == 0);
+    }
     SECTION("are settled by a probe that runs nothing when no other request comes") {
         b.finish(2, 0, result_code::upstream_failed);
         b.now = at_ms(1000);
@@ -313,7 +318,7 @@
         refused.start = start_id{1};
         auto actions = b.broker.completed(probe.key, refused, b.now);
         REQUIRE(actions.size() == 2);
-        CHECK(std::get<strike_action>(actions[0]).strikes == 0);
+        CHECK(std::get<strike_action>(actions[0]).change == strike_change::withdrawn);
     }
     SECTION("are made known to an entry that sends one without knowing") {
         auto again = b.request(4);
@@ -359,7 +364,7 @@
         other.submit(suspect);
         other.finish(11);
         REQUIRE(other.count<strike_action>() == 1);
-        CHECK(std::get<strike_action>(other.actions[1]).strikes == 0);
+        CHECK(other.first<strike_action>().change == strike_change::cleared);
     }
     SECTION("are refused at the second strike") {
         auto again = b.request(8);
@@ -369,6 +374,37 @@
     }
 }
 
+TEST_CASE("a request that ran when an upstream vanished that had never answered") {
+    // Regression: the first answer of the process that followed was taken for a sign that the old one lived,
+    // and the strike was withdrawn (process test crash, 3 searchers fell where 2 may; issue 9 point 6).
+    broker_bench b;
+    b.own();
+    b.submit(1);
+    b.finish(1, 0, result_code::upstream_failed);
+    REQUIRE(b.count<strike_action>() == 1);
+    b.advance_to(300);
+    b.actions.clear();
+    SECTION("stays a suspect when another answers at its address") {
+        b.submit(2);
+        REQUIRE(b.sent() == ids{2});
+        b.finish(2, 5);
+        CHECK(b.count<strike_action>() == 0);
+    }
+    SECTION("is cleared when the start that a poll showed before answers again") {
+        broker_bench polled;
+        polled.own();
+        polled.broker.polled(upstream_status{start_id{5}, false, {}}, polled.now);
+        polled.submit(1);
+        polled.finish(1, 0, result_code::upstream_failed);
+        polled.advance_to(300);
+        polled.actions.clear();
+        polled.submit(2);
+        polled.finish(2, 5);
+        REQUIRE(polled.count<strike_action>() == 1);
+        CHECK(polled.first<strike_action>().change == strike_change::withdrawn);
+    }
+}
+
 TEST_CASE("a canary request") {
     broker_bench b;
     b.make_warm();
