--- a/include/eelgrassledge/broker/upstream_broker.hpp
+++ b/include/eelgrassledge/broker/upstream_broker.hpp
@@ -59,6 +59,9 @@
     bool close_connection = false;
 };
 
+/// Closes the connections to the upstream on which nothing runs: they may be as dead as one that was.
+struct close_idle_action {};
+
 enum class strike_change : std::uint8_t {
     added,      ///< The upstream vanished while it ran the fingerprint.
     withdrawn,  ///< The upstream proved to be the same process as before.
@@ -73,7 +76,7 @@
 };
 
 using broker_action =
-    std::variant<send_action, answer_action, slow_action, abort_action, strike_action>;
+    std::variant<send_action, answer_action, slow_action, abort_action, close_idle_action, strike_action>;
 using broker_actions = std::vector<broker_action>;
 
 /// How a sub-request that was sent ended.
--- a/include/eelgrassledge/transport/http_loop.hpp
+++ b/include/eelgrassledge/transport/http_loop.hpp
@@ -34,6 +34,10 @@
     /// Drops a call and closes its connection; its `on_done` is not called.
     auto drop(call_id call) -> void;
 
+    /// Closes the connections to an address (`host:port`) on which no call runs. Calls started later open new
+    /// ones.
+    auto close_idle(std::string address) -> void;
+
     [[nodiscard]] auto counts() const -> statistics;
 
     /// Ends the thread; calls in flight are dropped.
--- a/include/eelgrassledge/transport/upstream_client.hpp
+++ b/include/eelgrassledge/transport/upstream_client.hpp
@@ -36,6 +36,9 @@
     /// Cancels a sub-request that was sent. With `close_connection` its `done` is never called.
     auto abort(const std::string& address, const abort_action& action) -> void;
 
+    /// Closes the connections to an upstream on which nothing runs.
+    auto close_idle(const std::string& address) -> void;
+
     /// Asks an upstream for its status.
     auto poll(const std::string& address, poll_done done) -> void;
 
--- a/src/broker/upstream_broker.cpp
+++ b/src/broker/upstream_broker.cpp
@@ -260,6 +260,7 @@
 auto upstream_broker::connection_lost(const running_request& ended, time_point now, broker_actions& out)
     -> void {
     ramp_.connection_failed();
+    out.push_back(close_idle_action{});
     auto strike = [&](const sub_request& request) {
         if (request.key.link == PROBE_LINK) {
             return;
@@ -425,6 +426,7 @@
     running_.erase(found);
     auto compared = last_answer_ > ended.sent;
     out.push_back(abort_action{key, true});
+    out.push_back(close_idle_action{});
     if (!compared) {
         ramp_.connection_failed();
     }
--- a/src/runtime/broker_runtime.cpp
+++ b/src/runtime/broker_runtime.cpp
@@ -170,6 +170,9 @@
             metrics_.count("eelgrassledge_upstream_aborts_total",
                            {{"connection", aborted->close_connection ? "closed" : "kept"}});
             client_.abort(address_of(*shard), *aborted);
+        } else if (std::holds_alternative<close_idle_action>(action)) {
+            metrics_.count("eelgrassledge_idle_connections_closed_total", {});
+            client_.close_idle(address_of(*shard));
         } else if (auto* strike = std::get_if<strike_action>(&action)) {
             record_strike(*strike);
         }
--- a/src/transport/http_loop.cpp
+++ b/src/transport/http_loop.cpp
@@ -1,5 +1,7 @@
 #include "eelgrassledge/transport/http_loop.hpp"
 
+#include <unistd.h>
+
 #include <atomic>
 #include <map>
 #include <mutex>
@@ -8,6 +10,7 @@
 #include <vector>
 
 #include "curl_request.hpp"
+#include "idle_sockets.hpp"
 
 namespace eelgrassledge {
 
@@ -24,13 +27,48 @@
     http_loop::done on_done;
     response_sink sink;
     header_list headers;
+    idle_sockets* sockets = nullptr;
+    std::uint16_t local_port = 0;  ///< Of the connection that the request went out on.
 };
 
+/// Host and port of an http URL.
+auto address_of(std::string_view url) -> std::string {
+    constexpr std::string_view SCHEME = "http://";
+    auto rest = url.starts_with(SCHEME) ? url.substr(SCHEME.size()) : url;
+    return std::string{rest.substr(0, rest.find('/'))};
+}
+
+auto on_open_socket(void* user, curlsocktype /*purpose*/, curl_sockaddr* address) -> curl_socket_t {
+    auto socket = ::socket(address->family, address->socktype | SOCK_CLOEXEC, address->protocol);
+    if (socket >= 0) {
+        auto& opening = *static_cast<call*>(user);
+        opening.sockets->opened(socket, address_of(opening.request.url));
+    }
+    return socket;
+}
+
+auto on_close_socket(void* user, curl_socket_t socket) -> int {
+    static_cast<idle_sockets*>(user)->closed(socket);
+    return ::close(socket);
+}
+
+auto on_request_ready(void* user, char* /*remote_ip*/, char* /*local_ip*/, int /*remote_port*/,
+                      int local_port) -> int {
+    auto& ready = *static_cast<call*>(user);
+    ready.local_port = static_cast<std::uint16_t>(local_port);
+    ready.sockets->connected(ready.local_port);
+    return CURL_PREREQFUNC_OK;
+}
+
 struct drop_command {
     call_id id;
 };
 
-using command = std::variant<std::unique_ptr<call>, drop_command>;
+struct close_idle_command {
+    std::string address;
+};
+
+using command = std::variant<std::unique_ptr<call>, drop_command, close_idle_command>;
 
 }  // namespace
 
@@ -96,6 +134,10 @@
                 begin(std::move(*started));
                 continue;
             }
+            if (const auto* idle = std::get_if<close_idle_command>(&item)) {
+                close_idle(idle->address);
+                continue;
+            }
             auto found = handles.find(std::get<drop_command>(item).id);
             if (found != handles.end()) {
                 release(found->second);
@@ -103,8 +145,23 @@
         }
     }
 
+    auto close_idle(const std::string& address) -> void {
+        std::set<std::uint16_t> busy;
+        for (const auto& [handle, running] : calls) {
+            busy.insert(running->local_port);
+        }
+        sockets.shut_down(address, busy);
+    }
+
     auto begin(std::unique_ptr<call> started) -> void {
         auto* handle = take_handle();
+        started->sockets = &sockets;
+        curl_easy_setopt(handle, CURLOPT_OPENSOCKETFUNCTION, on_open_socket);
+        curl_easy_setopt(handle, CURLOPT_OPENSOCKETDATA, started.get());
+        curl_easy_setopt(handle, CURLOPT_CLOSESOCKETFUNCTION, on_close_socket);
+        curl_easy_setopt(handle, CURLOPT_CLOSESOCKETDATA, &sockets);
+        curl_easy_setopt(handle, CURLOPT_PREREQFUNCTION, on_request_ready);
+        curl_easy_setopt(handle, CURLOPT_PREREQDATA, started.get());
         started->headers = prepare(handle, started->request, started->sink);
         curl_easy_setopt(handle, CURLOPT_FRESH_CONNECT, started->fresh_connection ? 1L : 0L);
         handles[started->id] = handle;
@@ -150,6 +207,7 @@
         return handle;
     }
 
+    idle_sockets sockets;
     CURLM* multi;
     std::mutex lock;
     std::vector<command> commands;
@@ -185,6 +243,10 @@
     impl_->post(drop_command{call});
 }
 
+auto http_loop::close_idle(std::string address) -> void {
+    impl_->post(close_idle_command{std::move(address)});
+}
+
 auto http_loop::counts() const -> statistics {
     return {impl_->connections_opened, impl_->call_count};
 }
--- a/src/transport/upstream_client.cpp
+++ b/src/transport/upstream_client.cpp
@@ -91,6 +91,10 @@
                 [](const http_result&) {});
 }
 
+auto upstream_client::close_idle(const std::string& address) -> void {
+    loop_.close_idle(address);
+}
+
 auto upstream_client::poll(const std::string& address, poll_done done) -> void {
     loop_.start({"GET", "http://" + address + "/status", "", {}, POLL_TIMEOUT}, false,
                 [done = std::move(done)](const http_result& result) {
--- a/tests/unit/upstream_broker.cpp
+++ b/tests/unit/upstream_broker.cpp
@@ -439,6 +439,7 @@
         b.advance_to(120);
         CHECK(b.sent() == ids{1, 2, 1});
         CHECK(b.last_send().fresh_connection);
+        CHECK(b.count<close_idle_action>() == 1);
         CHECK(b.broker.warm_up().current() == warmth::warm);
     }
     SECTION("is not closed while nothing answers, until three times as long") {
