--- a/include/eelgrassledge/routing/load_shedder.hpp
+++ b/include/eelgrassledge/routing/load_shedder.hpp
@@ -26,6 +26,9 @@
     /// Share of the least urgent queries to admit.
     [[nodiscard]] auto admitted_share(time_point now) const -> double;
 
+    /// Whether so many queries are refused that extra sub-requests would take room from others.
+    [[nodiscard]] auto is_shedding(time_point now) const -> bool;
+
     /// Whether to admit a query. `point` is drawn evenly from zero to one. Of urgent queries half as large a
     /// share is refused, at most.
     [[nodiscard]] auto admits(bool urgent, double point, time_point now) const -> bool;
--- a/src/routing/load_shedder.cpp
+++ b/src/routing/load_shedder.cpp
@@ -18,6 +18,9 @@
 /// Smallest share: enough queries to notice that the load has gone.
 constexpr double SMALLEST_SHARE = 0.2;
 
+/// Share below which the load counts as high: two or three signs within a short time.
+constexpr double CALM_SHARE = 0.9;
+
 /// Urgent queries are admitted at this multiple of the share.
 constexpr double URGENT_FACTOR = 2;
 
@@ -38,6 +41,10 @@
     changed_ = now;
 }
 
+auto load_shedder::is_shedding(time_point now) const -> bool {
+    return admitted_share(now) < CALM_SHARE;
+}
+
 auto load_shedder::admits(bool urgent, double point, time_point now) const -> bool {
     auto share = admitted_share(now) * (urgent ? URGENT_FACTOR : 1);
     return point < share;
--- a/src/routing/query_attempts.cpp
+++ b/src/routing/query_attempts.cpp
@@ -205,13 +205,14 @@
     }
     shard.overdue_at = now + HEDGE_RECHECK;
     const auto* rule = setup_.table->service(shard.service);
-    auto to = state_.choose(shard.service, shard.tried, true, rule, now);
+    auto is_busy = setup_.matched->gather && state_.shedder(*setup_.matched->gather).is_shedding(now);
+    auto to = is_busy ? nullptr : state_.choose(shard.service, shard.tried, true, rule, now);
     if (!to || !state_.budget(shard.service).take(state_.budget_limits(), now)) {
         if (!std::exchange(shard.hedge_denied, true)) {
+            const auto* reason = is_busy ? "overload" : to ? "budget" : "no other healthy upstream";
             out.notes.push_back(
                 {"hedge_denied", fmt::format("shard={} overdue={} reason={}", shard.service.value(),
-                                             shard.running.front().to->id().value(),
-                                             to ? "budget" : "no other healthy upstream")});
+                                             shard.running.front().to->id().value(), reason)});
         }
         return;
     }
--- a/tests/unit/routing/load_shedder.cpp
+++ b/tests/unit/routing/load_shedder.cpp
@@ -111,6 +111,18 @@
         routed_query query{f.state, setup_later(), f.next_attempt};
         CHECK_FALSE(query.start(at_ms(1000)).answer);
     }
+    SECTION("are not hedged: the hedge would take the room of another") {
+        for (int i = 0; i < 3; ++i) {
+            run_overloaded();
+        }
+        routed_query query{f.state, setup_later(), f.next_attempt};
+        query.start(at_ms(1000));
+        auto overdue = query.advance(at_ms(1040));
+        CHECK(overdue.sends.empty());
+        REQUIRE_FALSE(overdue.notes.empty());
+        CHECK(overdue.notes[0].event == "hedge_denied");
+        CHECK(overdue.notes[0].detail.ends_with("reason=overload"));
+    }
     SECTION("do not stop parts of queries that another instance admitted") {
         for (int i = 0; i < 10; ++i) {
             run_overloaded();
