--- a/daemon/main.cpp
+++ b/daemon/main.cpp
@@ -1,9 +1,8 @@
 #include <csignal>
 #include <cxxopts.hpp>
-#include <fstream>
 #include <iostream>
-#include <sstream>
 
+#include "eelgrassledge/config/text_file.hpp"
 #include "eelgrassledge/runtime/application.hpp"
 #include "http_server.hpp"
 #include "json_log.hpp"
@@ -31,16 +30,6 @@
     return options;
 }
 
-auto read_file(const std::string& path) -> result<std::string> {
-    std::ifstream file{path};
-    if (!file) {
-        return fail(result_code::bad_settings, path + ": cannot be read");
-    }
-    std::ostringstream text;
-    text << file.rdbuf();
-    return text.str();
-}
-
 auto read_overrides(const std::vector<std::string>& pairs) -> result<std::vector<ini_entry>> {
     std::vector<ini_entry> entries;
     for (const auto& pair : pairs) {
@@ -71,7 +60,7 @@
     std::string source = "command line";
     if (parsed.count("settings") > 0) {
         source = parsed["settings"].as<std::string>();
-        auto file = read_file(source);
+        auto file = read_text_file(source, result_code::bad_settings);
         if (!file) {
             return tl::unexpected{file.error()};
         }
--- a/include/eelgrassledge/peer/peer_network.hpp
+++ b/include/eelgrassledge/peer/peer_network.hpp
@@ -31,6 +31,8 @@
     std::function<std::vector<upstream_load>()> on_ask_loads;
     /// Loads that a broker told this entry.
     std::function<void(const std::vector<upstream_load>&)> on_loads;
+    /// Work on a connection ended with an error that nobody waits for.
+    std::function<void(const std::string& reason)> on_task_failed;
     /// The connection to a broker is gone with everything in flight on it.
     std::function<void(const std::string& address)> on_broker_lost;
     /// A sync from another daemon.
--- a/include/eelgrassledge/proxy/instance_registration.hpp
+++ b/include/eelgrassledge/proxy/instance_registration.hpp
@@ -12,8 +12,9 @@
 /// Keeps one key in the store under a lease for as long as this process lives.
 class instance_registration {
   public:
+    /// `least_time_to_live` is the shortest that the store accepts.
     instance_registration(asio::io_context& loop, const watched_store& store, std::string key,
-                          std::string value, event_log log);
+                          std::string value, duration least_time_to_live, event_log log);
 
     auto start() -> void { grant(); }
 
@@ -32,6 +33,7 @@
     const watched_store& store_;
     std::string key_;
     std::string value_;
+    duration time_to_live_;
     event_log log_;
     asio::steady_timer timer_;
     lease_id lease_;
--- a/include/eelgrassledge/runtime/application.hpp
+++ b/include/eelgrassledge/runtime/application.hpp
@@ -73,7 +73,7 @@
     [[nodiscard]] auto readiness_page() -> api_response;
 
     [[nodiscard]] auto current_document() -> std::shared_ptr<const document>;
-    [[nodiscard]] auto takes_work(const document& doc) const -> bool;
+    [[nodiscard]] auto takes_work() const -> bool;
     auto run_control() -> void;
     auto apply_membership() -> void;
     auto renew_ownership() -> void;
--- a/include/eelgrassledge/runtime/event_log.hpp
+++ b/include/eelgrassledge/runtime/event_log.hpp
@@ -15,8 +15,8 @@
     std::string value;
 };
 
-/// Writes one structured line: level, event and fields. The daemon fills it with JSON lines on standard
-/// error; tests fill it with a list.
+/// Writes one structured line: level, event and fields. The daemons fill it with JSON lines on standard
+/// output; tests fill it with a list.
 using event_log =
     std::function<void(log_level level, std::string_view event, const std::vector<log_field>& fields)>;
 
--- a/src/peer/peer_network.cpp
+++ b/src/peer/peer_network.cpp
@@ -9,10 +9,10 @@
 #include <atomic>
 #include <future>
 #include <map>
-#include <mutex>
 #include <thread>
 #include <variant>
 
+#include "eelgrassledge/core/command_queue.hpp"
 #include "wire_conversions.hpp"
 
 namespace eelgrassledge {
@@ -98,15 +98,9 @@
     auto operator=(const implementation&) -> implementation& = delete;
 
     auto post(command c) -> void {
-        auto wake = false;
-        {
-            std::scoped_lock guard{lock};
-            wake = commands.empty();
-            commands.push_back(std::move(c));
-        }
-        if (wake) {
-            auto written = ::write(wake_pipe[1], "w", 1);
-            (void)written;
+        if (commands.post(std::move(c))) {
+            // A full pipe wakes the loop as well.
+            [[maybe_unused]] auto written = ::write(wake_pipe[1], "w", 1);
         }
     }
 
@@ -117,7 +111,9 @@
         }
     }
 
-    auto taskFailed(kj::Exception&& /*failure*/) -> void override {}
+    auto taskFailed(kj::Exception&& failure) -> void override {
+        hooks.on_task_failed(failure.getDescription().cStr());
+    }
 
     // ---- the network's thread ----
 
@@ -161,11 +157,7 @@
     }
 
     auto take_commands() -> void {
-        std::vector<command> taken;
-        {
-            std::scoped_lock guard{lock};
-            taken.swap(commands);
-        }
+        auto taken = commands.take();
         std::map<link_id, std::vector<broker_message>> replies;
         for (auto& item : taken) {
             if (auto* send = std::get_if<send_command>(&item)) {
@@ -385,8 +377,7 @@
     peer_hooks hooks;
     std::array<int, 2> wake_pipe{-1, -1};
     std::array<char, 4096> wake_buffer{};
-    std::mutex lock;
-    std::vector<command> commands;
+    command_queue<command> commands;
     bool is_listening = false;
 
     kj::AsyncIoContext* io = nullptr;
--- a/src/proxy/instance_registration.cpp
+++ b/src/proxy/instance_registration.cpp
@@ -1,5 +1,7 @@
 #include "eelgrassledge/proxy/instance_registration.hpp"
 
+#include <algorithm>
+
 namespace eelgrassledge {
 
 namespace {
@@ -9,7 +11,7 @@
 constexpr duration TIME_TO_LIVE = seconds{15};
 
 /// A lease is renewed three times within its life, so that two calls may fail.
-constexpr duration RENEWAL = TIME_TO_LIVE / 3;
+constexpr int RENEWALS_PER_LIFE = 3;
 
 /// Pause after a failed call.
 constexpr duration RETRY_PAUSE = seconds{1};
@@ -17,8 +19,14 @@
 }  // namespace
 
 instance_registration::instance_registration(asio::io_context& loop, const watched_store& store,
-                                             std::string key, std::string value, event_log log)
-    : store_(store), key_(std::move(key)), value_(std::move(value)), log_(std::move(log)), timer_(loop) {}
+                                             std::string key, std::string value, duration least_time_to_live,
+                                             event_log log)
+    : store_(store),
+      key_(std::move(key)),
+      value_(std::move(value)),
+      time_to_live_(std::max(TIME_TO_LIVE, least_time_to_live)),
+      log_(std::move(log)),
+      timer_(loop) {}
 
 auto instance_registration::later(duration wait, void (instance_registration::*step)()) -> void {
     timer_.expires_after(wait);
@@ -30,8 +38,9 @@
 }
 
 auto instance_registration::grant() -> void {
-    store_.grant(TIME_TO_LIVE, [this](const result<lease_id>& lease) {
+    store_.grant(time_to_live_, [this](const result<lease_id>& lease) {
         if (!lease) {
+            log_(log_level::warning, "lease_not_granted", {{"reason", lease.error().message}});
             later(RETRY_PAUSE, &instance_registration::grant);
             return;
         }
@@ -49,14 +58,14 @@
         }
         log_(log_level::info, "instance_registered",
              {{"key", key_}, {"lease", std::to_string(lease_.value())}});
-        later(RENEWAL, &instance_registration::keep);
+        later(time_to_live_ / RENEWALS_PER_LIFE, &instance_registration::keep);
     });
 }
 
 auto instance_registration::keep() -> void {
     store_.keep_alive(lease_, [this](const result<bool>& kept) {
         if (kept) {
-            later(RENEWAL, &instance_registration::keep);
+            later(time_to_live_ / RENEWALS_PER_LIFE, &instance_registration::keep);
             return;
         }
         if (kept.error().code == result_code::store_not_found) {
--- a/src/runtime/application.cpp
+++ b/src/runtime/application.cpp
@@ -130,6 +130,9 @@
         std::scoped_lock guard{coordinator_.lock};
         coordinator_.decisions.on_sync_failed(address, monotonic_now());
     };
+    hooks.on_task_failed = [this](const std::string& reason) {
+        log_(log_level::warning, "peer_task_failed", {{"reason", reason}});
+    };
     return hooks;
 }
 
@@ -353,13 +356,12 @@
     return lane::ordinary;
 }
 
-auto application::takes_work(const document& doc) const -> bool {
+auto application::takes_work() const -> bool {
     if (refuse_new_) {
         return false;
     }
     auto out_since = out_since_.load();
     auto out_for = monotonic_now().time_since_epoch().count() - out_since;
-    (void)doc;
     return out_since == 0 || out_for < OUT_NOTICE.count();
 }
 
@@ -388,7 +390,7 @@
         refuse(done, result_code::unknown_caller, "the caller's key is missing or wrong", wanted.request);
         return;
     }
-    if (!takes_work(*doc)) {
+    if (!takes_work()) {
         refuse(done, result_code::stopping, "this instance takes no new work", wanted.request);
         return;
     }
--- a/src/transport/http_loop.cpp
+++ b/src/transport/http_loop.cpp
@@ -4,12 +4,12 @@
 
 #include <atomic>
 #include <map>
-#include <mutex>
 #include <thread>
 #include <variant>
 #include <vector>
 
 #include "curl_request.hpp"
+#include "eelgrassledge/core/command_queue.hpp"
 #include "idle_sockets.hpp"
 
 namespace eelgrassledge {
@@ -94,13 +94,7 @@
     auto operator=(const implementation&) -> implementation& = delete;
 
     auto post(command c) -> void {
-        auto wake = false;
-        {
-            std::scoped_lock guard{lock};
-            wake = commands.empty();
-            commands.push_back(std::move(c));
-        }
-        if (wake) {
+        if (commands.post(std::move(c))) {
             curl_multi_wakeup(multi);
         }
     }
@@ -124,12 +118,7 @@
     }
 
     auto take_commands() -> void {
-        std::vector<command> taken;
-        {
-            std::scoped_lock guard{lock};
-            taken.swap(commands);
-        }
-        for (auto& item : taken) {
+        for (auto& item : commands.take()) {
             if (auto* started = std::get_if<std::unique_ptr<call>>(&item)) {
                 begin(std::move(*started));
                 continue;
@@ -209,8 +198,7 @@
 
     idle_sockets sockets;
     CURLM* multi;
-    std::mutex lock;
-    std::vector<command> commands;
+    command_queue<command> commands;
     std::map<CURL*, std::unique_ptr<call>> calls;
     std::map<call_id, CURL*> handles;
     std::vector<CURL*> idle_handles;
--- a/tools/eelgrassledge.cpp
+++ b/tools/eelgrassledge.cpp
@@ -5,12 +5,11 @@
 #include <algorithm>
 #include <cstdlib>
 #include <cxxopts.hpp>
-#include <fstream>
 #include <iostream>
-#include <sstream>
 
 #include "daemon_client.hpp"
 #include "eelgrassledge/config/document.hpp"
+#include "eelgrassledge/config/text_file.hpp"
 #include "explain.hpp"
 
 namespace {
@@ -110,16 +109,6 @@
     return report({result_code::bad_option, message});
 }
 
-auto read_file(const std::string& path) -> result<std::string> {
-    std::ifstream file{path};
-    if (!file) {
-        return fail(result_code::bad_option, path + ": cannot be read");
-    }
-    std::ostringstream text;
-    text << file.rdbuf();
-    return text.str();
-}
-
 // ---- search ----
 
 auto search_body(const command& c) -> json {
@@ -192,7 +181,7 @@
 }
 
 auto run_config_check(const command& c) -> int {
-    auto text = read_file(c.word(2));
+    auto text = read_text_file(c.word(2), result_code::bad_option);
     if (!text) {
         return report(text.error());
     }
@@ -254,7 +243,7 @@
 }
 
 auto run_config_put(const command& c) -> int {
-    auto text = read_file(c.word(2));
+    auto text = read_text_file(c.word(2), result_code::bad_option);
     if (!text) {
         return report(text.error());
     }
@@ -274,7 +263,7 @@
 }
 
 auto run_config_diff(const command& c) -> int {
-    auto text = read_file(c.word(2));
+    auto text = read_text_file(c.word(2), result_code::bad_option);
     auto page = c.client.read_document();
     if (!text || !page) {
         return report(text ? page.error() : text.error());
