--- a/include/eelgrassledge/broker/upstream_broker.hpp
+++ b/include/eelgrassledge/broker/upstream_broker.hpp
@@ -179,7 +179,10 @@
     auto send(sub_request request, time_point now, broker_actions& out) -> void;
     auto preempt_for_priority(time_point now, broker_actions& out) -> void;
     auto check_running(time_point now, broker_actions& out) -> void;
-    [[nodiscard]] auto is_silent(const running_request& r, time_point now) const -> bool;
+    /// When a running sub-request counts as silent unless an answer comes.
+    [[nodiscard]] auto silent_from(const running_request& r) const -> time_point;
+    /// When a running sub-request must be looked at next.
+    [[nodiscard]] auto next_check(const running_request& r) const -> time_point;
     auto give_up_silent(const sub_key& key, time_point now, broker_actions& out) -> void;
     auto connection_lost(const running_request& ended, time_point now, broker_actions& out) -> void;
     auto probe_for_strikes(time_point now, broker_actions& out) -> void;
--- a/include/eelgrassledge/core/suspicion.hpp
+++ b/include/eelgrassledge/core/suspicion.hpp
@@ -11,6 +11,9 @@
 /// request by hand; not so long that a repaired upstream refuses it the next day.
 constexpr duration SUSPECT_LIFETIME = seconds{3600};
 
+/// Strikes at which a fingerprint is not run again.
+constexpr std::uint32_t STRIKES_TO_QUARANTINE = 2;
+
 /// How many upstreams vanished while they ran a fingerprint, as one daemon knows it. Copies on different
 /// daemons merge to the same value in whatever order they arrive.
 struct suspicion {
--- /dev/null
+++ b/src/entry/entry_suspects.cpp
@@ -0,0 +1,96 @@
+// Requests that may crash whatever runs them: the canary before the others, and those that are refused.
+
+#include <algorithm>
+#include <boost/container_hash/hash.hpp>
+
+#include "eelgrassledge/entry/entry_service.hpp"
+#include "entry_limits.hpp"
+
+namespace eelgrassledge {
+
+namespace {
+
+/// Fingerprints remembered as harmless.
+constexpr std::size_t CLEARED_CAPACITY = 20'000;
+
+}  // namespace
+
+auto entry_service::needs_canary(const query& q) const -> bool {
+    return spec_.canary && (q.request.strikes > 0 || !cleared_.contains(q.request.print));
+}
+
+auto entry_service::choose_canary(const query& q, time_point now) const -> std::optional<shard_index> {
+    auto count = static_cast<std::uint32_t>(q.shards.size());
+    auto first = static_cast<std::uint32_t>(q.request.print.value() % count);
+    for (std::uint32_t i = 0; i < count; ++i) {
+        auto shard = shard_index{(first + i) % count};
+        if (!canary_replicas(q, shard, now).empty()) {
+            return shard;
+        }
+    }
+    return std::nullopt;
+}
+
+auto entry_service::canary_replicas(const query& q, shard_index shard, time_point now) const
+    -> std::vector<upstream_id> {
+    auto names = view_.replicas(q.snapshot.snapshot, shard, q.request.priority, now);
+    auto rank = [&](const upstream_id& name) {
+        std::size_t seed = q.request.print.value();
+        boost::hash_combine(seed, name.value());
+        return std::pair{view_.broker_is_avoided(name, now), seed};
+    };
+    std::ranges::sort(names, {}, rank);
+    const auto& tried = q.shards[shard.value()].tried;
+    std::erase_if(names, [&](const auto& name) { return std::ranges::find(tried, name) != tried.end(); });
+    return names;
+}
+
+auto entry_service::remember_cleared(fingerprint print) -> void {
+    if (!cleared_.insert(print).second) {
+        return;
+    }
+    cleared_order_.push_back(print);
+    if (cleared_order_.size() > CLEARED_CAPACITY) {
+        cleared_.erase(cleared_order_.front());
+        cleared_order_.pop_front();
+    }
+}
+
+auto entry_service::suspect(fingerprint print, const suspicion& state) -> void {
+    auto& known = suspects_[print];
+    known = merged(known, state);
+    if (known.strikes == 0) {
+        suspects_.erase(print);
+        return;
+    }
+    if (cleared_.erase(print) > 0) {
+        std::erase(cleared_order_, print);
+    }
+}
+
+auto entry_service::fail_canary(query& q, shard_index shard, const sub_answer& answer, time_point now,
+                                entry_actions& out) -> bool {
+    q.request.strikes = std::max(q.request.strikes, answer.strikes);
+    auto& known = suspects_[q.request.print];
+    known = with_strikes(known, q.request.strikes);
+    if (q.request.strikes >= STRIKES_TO_QUARANTINE) {
+        withdraw_all(q, out);
+        for (auto& state : q.shards) {
+            state.given_up = state.given_up || !state.answered;
+            state.retry_at.reset();
+        }
+        q.settled = q.shards.size();
+        return true;
+    }
+    if (q.canary != shard || (!q.request.idempotent && may_have_run(answer.code))) {
+        return false;
+    }
+    if (send_shard(q, shard, false, now, out)) {
+        out.push_back(
+            note_action{note_reason::canary_retry, answer.code, q.request.request, answer.load.upstream});
+        return true;
+    }
+    return false;
+}
+
+}  // namespace eelgrassledge
