--- a/include/eelgrassledge/proxy/forwarder.hpp
+++ b/include/eelgrassledge/proxy/forwarder.hpp
@@ -83,6 +83,7 @@
     auto take_result(query_number number, const send_order& order, exchange_result result) -> void;
     [[nodiscard]] auto to_outcome(exchange_result result) const -> attempt_outcome;
     auto answer(query_number number, const query_answer& answer) -> void;
+    auto observe_stages(const std::string& route_name, const query_answer& answer, duration took) -> void;
     auto log_answer(const running_query& query, const query_answer& answer, int status) -> void;
     [[nodiscard]] auto deadline_of(const inbound_request& request, const route& r) const -> time_point;
     auto pool_of(const shared_upstream& to) -> connection_pool&;
--- a/include/eelgrassledge/routing/routed_query.hpp
+++ b/include/eelgrassledge/routing/routed_query.hpp
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "eelgrassledge/core/result_code.hpp"
@@ -99,14 +100,22 @@
     std::vector<std::size_t> open_shards;
     /// Wait that a refused caller is asked for.
     duration retry_after{};
+    /// Time from the request's arrival to its first part, and to as many as a success needs.
+    std::optional<duration> first_part_after;
+    std::optional<duration> enough_parts_after;
 };
 
-/// A decision for the log.
+/// A decision for the log. `reason` is one of a few words and also labels the counter of the event.
 struct query_note {
     std::string event;
+    std::string reason;
     std::string detail;
 };
 
+/// How a sub-request ended, as one word.
+[[nodiscard]] auto to_string(attempt_end end) -> std::string_view;
+[[nodiscard]] auto to_string(group_end end) -> std::string_view;
+
 /// What to do after an event.
 struct query_actions {
     std::vector<send_order> sends;
@@ -211,6 +220,7 @@
     auto launch_again(shard_state& shard, time_point now, query_actions& out) -> void;
     auto give_up(shard_state& shard) -> void;
     auto take_group_parts(const group_outcome& outcome) -> void;
+    auto note_progress(time_point now) -> void;
     [[nodiscard]] auto at_position(std::size_t position) -> shard_state&;
     auto launch(shard_state& shard, const shared_upstream& to, time_point now, query_actions& out) -> void;
     [[nodiscard]] auto seems_to_crash() const -> bool;
@@ -241,6 +251,8 @@
     time_point give_up_at_;
     time_point latest_event_;
     std::size_t parts_in_ = 0;
+    std::optional<time_point> first_part_at_;
+    std::optional<time_point> enough_parts_at_;
     /// Connections that broke while they carried a sub-request.
     std::size_t breaks_ = 0;
     bool finished_ = false;
--- a/src/proxy/forwarder.cpp
+++ b/src/proxy/forwarder.cpp
@@ -192,9 +192,9 @@
     }
     cancel_all(actions);
     for (const auto& note : actions.notes) {
-        counters_.count("eelgrassledge_decisions_total", {{"event", note.event}});
+        counters_.count("eelgrassledge_decisions_total", {{"event", note.event}, {"reason", note.reason}});
         log_(log_level::info, note.event,
-             {{"request_id", found->second.id.value()}, {"detail", note.detail}});
+             {{"request_id", found->second.id.value()}, {"reason", note.reason}, {"detail", note.detail}});
     }
     if (actions.answer) {
         answer(number, *actions.answer);
@@ -228,7 +228,8 @@
     for (const auto& shard : answer.missing_shards) {
         missing += (missing.empty() ? "" : ",") + shard.value();
     }
-    log_(log_level::info, "answered",
+    // Failures use the log's reserve, so that a flood of ordinary lines hides none.
+    log_(answer.code == result_code::ok ? log_level::info : log_level::warning, "answered",
          {{"request_id", query.id.value()},
           {"route", setup.matched->name},
           {"config_version", std::to_string(setup.table->version().value())},
@@ -240,7 +241,21 @@
           {"upstreams", query.decisions->upstreams_tried()},
           {"missing", missing}});
     counters_.count("eelgrassledge_answers_total", {{"code", std::string{describe(answer.code).name}}});
-    counters_.observe("eelgrassledge_request_seconds", {{"route", setup.matched->name}}, took);
+    observe_stages(setup.matched->name, answer, took);
+}
+
+auto forwarder::observe_stages(const std::string& route_name, const query_answer& answer, duration took)
+    -> void {
+    auto observe = [&](const char* stage, duration after) {
+        counters_.observe("eelgrassledge_request_seconds", {{"route", route_name}, {"stage", stage}}, after);
+    };
+    if (answer.first_part_after) {
+        observe("first_part", *answer.first_part_after);
+    }
+    if (answer.enough_parts_after) {
+        observe("enough_parts", *answer.enough_parts_after);
+    }
+    observe("answer", took);
 }
 
 auto forwarder::arm(query_number number) -> void {
--- a/src/routing/query_attempts.cpp
+++ b/src/routing/query_attempts.cpp
@@ -33,6 +33,20 @@
 
 }  // namespace
 
+auto to_string(attempt_end end) -> std::string_view {
+    switch (end) {
+        case attempt_end::answered:
+            return "answered";
+        case attempt_end::not_run:
+            return "not_run";
+        case attempt_end::not_sent:
+            return "not_sent";
+        case attempt_end::unclear:
+            break;
+    }
+    return "unclear";
+}
+
 auto routed_query::launch_first(shard_state& shard, time_point now, query_actions& out) -> void {
     state_.budget(shard.service).earned(now);
     const auto* rule = setup_.table->service(shard.service);
@@ -102,10 +116,10 @@
             shard.runs -= 1;
         }
         shard.was_refused = shard.was_refused || outcome.is_full;
-        out.notes.push_back(
-            {"attempt_failed", fmt::format("shard={} upstream={} after_ms={:.1f} status={} reason={}",
-                                           shard.service.value(), from.to->id().value(),
-                                           to_milliseconds(latency), outcome.reply.status, outcome.reason)});
+        out.notes.push_back({"attempt_failed", std::string{to_string(outcome.end)},
+                             fmt::format("shard={} upstream={} after_ms={:.1f} status={} cause={}",
+                                         shard.service.value(), from.to->id().value(),
+                                         to_milliseconds(latency), outcome.reply.status, outcome.reason)});
         if (!try_again(shard, outcome, now, out) && shard.running.empty()) {
             settle(shard, outcome);
         }
@@ -125,8 +139,9 @@
     if (outcome.end == attempt_end::unclear) {
         ++breaks_;
         if (seems_to_crash()) {
-            out.notes.push_back({"retry_denied", fmt::format("shard={} reason=crashes breaks={} parts={}",
-                                                             shard.service.value(), breaks_, parts_in_)});
+            out.notes.push_back(
+                {"retry_denied", "crashes",
+                 fmt::format("shard={} breaks={} parts={}", shard.service.value(), breaks_, parts_in_)});
             return false;
         }
     }
@@ -143,11 +158,11 @@
     // A sub-request that never arrived took nothing from the upstreams.
     auto arrived = outcome.end != attempt_end::not_sent;
     if (arrived && !state_.budget(shard.service).take(state_.budget_limits(), now)) {
-        out.notes.push_back({"retry_denied", fmt::format("shard={} reason=budget", shard.service.value())});
+        out.notes.push_back({"retry_denied", "budget", fmt::format("shard={}", shard.service.value())});
         return false;
     }
-    out.notes.push_back(
-        {"retry", fmt::format("shard={} upstream={}", shard.service.value(), to->id().value())});
+    out.notes.push_back({"retry", std::string{to_string(outcome.end)},
+                         fmt::format("shard={} upstream={}", shard.service.value(), to->id().value())});
     launch(shard, to, now, out);
     return true;
 }
@@ -209,16 +224,17 @@
     auto to = is_busy ? nullptr : state_.choose(shard.service, shard.tried, true, rule, now);
     if (!to || !state_.budget(shard.service).take(state_.budget_limits(), now)) {
         if (!std::exchange(shard.hedge_denied, true)) {
-            const auto* reason = is_busy ? "overload" : to ? "budget" : "no other healthy upstream";
-            out.notes.push_back(
-                {"hedge_denied", fmt::format("shard={} overdue={} reason={}", shard.service.value(),
-                                             shard.running.front().to->id().value(), reason)});
+            const auto* reason = is_busy ? "overload" : to ? "budget" : "no_healthy_upstream";
+            out.notes.push_back({"hedge_denied", reason,
+                                 fmt::format("shard={} overdue={}", shard.service.value(),
+                                             shard.running.front().to->id().value())});
         }
         return;
     }
-    out.notes.push_back({"hedge", fmt::format("shard={} overdue={} upstream={} delay_ms={:.1f}",
-                                              shard.service.value(), shard.running.front().to->id().value(),
-                                              to->id().value(), to_milliseconds(delay))});
+    out.notes.push_back(
+        {"hedge", "overdue",
+         fmt::format("shard={} overdue={} upstream={} delay_ms={:.1f}", shard.service.value(),
+                     shard.running.front().to->id().value(), to->id().value(), to_milliseconds(delay))});
     launch(shard, to, now, out);
 }
 
--- a/src/routing/query_groups.cpp
+++ b/src/routing/query_groups.cpp
@@ -15,6 +15,20 @@
 
 }  // namespace
 
+auto to_string(group_end end) -> std::string_view {
+    switch (end) {
+        case group_end::answered:
+            return "answered";
+        case group_end::not_taken:
+            return "not_taken";
+        case group_end::silent:
+            return "silent";
+        case group_end::failed:
+            break;
+    }
+    return "failed";
+}
+
 auto routed_query::send_groups(time_point now, query_actions& out) -> void {
     for (const auto& group : setup_.groups) {
         attempt_id call{next_attempt_++};
@@ -47,8 +61,8 @@
     groups_.erase(found);
     take_group_parts(outcome);
     if (outcome.end != group_end::answered) {
-        out.notes.push_back(
-            {"group_failed", fmt::format("shards={} reason={}", group.shards.size(), outcome.reason)});
+        out.notes.push_back({"group_failed", std::string{to_string(outcome.end)},
+                             fmt::format("shards={} cause={}", group.shards.size(), outcome.reason)});
     }
     // An instance that fell silent before it could have hedged has used one attempt of each shard at most.
     auto one_attempt_used = outcome.end == group_end::silent &&
--- a/src/routing/routed_query.cpp
+++ b/src/routing/routed_query.cpp
@@ -130,8 +130,8 @@
     if (shedder.admits(is_urgent, state_.random(), now)) {
         return true;
     }
-    out.notes.push_back({"shed", fmt::format("admitted_share={:.2f} urgent={}", shedder.admitted_share(now),
-                                             is_urgent ? "yes" : "no")});
+    out.notes.push_back({"shed", is_urgent ? "urgent" : "not_urgent",
+                         fmt::format("admitted_share={:.2f}", shedder.admitted_share(now))});
     return false;
 }
 
@@ -176,8 +176,18 @@
     return out;
 }
 
+auto routed_query::note_progress(time_point now) -> void {
+    if (parts_in_ > 0 && !first_part_at_) {
+        first_part_at_ = now;
+    }
+    if (parts_in_ >= required_parts() && !enough_parts_at_) {
+        enough_parts_at_ = now;
+    }
+}
+
 auto routed_query::finish_if_decided(time_point now, query_actions& out) -> void {
     latest_event_ = now;
+    note_progress(now);
     if (finished_) {
         return;
     }
@@ -248,6 +258,12 @@
         }
     }
     answer.retry_after = state_.policy().retry_after;
+    if (first_part_at_) {
+        answer.first_part_after = *first_part_at_ - setup_.received;
+    }
+    if (enough_parts_at_) {
+        answer.enough_parts_after = *enough_parts_at_ - setup_.received;
+    }
     out.answer = std::move(answer);
 }
 
--- a/tests/unit/routing/load_shedder.cpp
+++ b/tests/unit/routing/load_shedder.cpp
@@ -77,6 +77,7 @@
         CHECK(refused.group_sends.empty());
         REQUIRE(refused.notes.size() == 1);
         CHECK(refused.notes[0].event == "shed");
+        CHECK(refused.notes[0].reason == "not_urgent");
     }
     SECTION("that wait here for earlier ones to end are a sign as well, unless nothing ends") {
         auto upstreams_answer = GENERATE(true, false);
@@ -121,7 +122,7 @@
         CHECK(overdue.sends.empty());
         REQUIRE_FALSE(overdue.notes.empty());
         CHECK(overdue.notes[0].event == "hedge_denied");
-        CHECK(overdue.notes[0].detail.ends_with("reason=overload"));
+        CHECK(overdue.notes[0].reason == "overload");
     }
     SECTION("do not stop parts of queries that another instance admitted") {
         for (int i = 0; i < 10; ++i) {
--- a/tests/unit/routing/routed_query.cpp
+++ b/tests/unit/routing/routed_query.cpp
@@ -63,6 +63,8 @@
         CHECK(query.next_wakeup() == at_ms(90));
         auto last = query.advance(at_ms(90));
         REQUIRE(last.answer);
+        CHECK(last.answer->first_part_after == milliseconds{20});
+        CHECK(last.answer->enough_parts_after == milliseconds{20});
         CHECK(last.answer->code == result_code::ok);
         CHECK(last.answer->missing_parts == 1);
         CHECK(last.answer->missing_shards == std::vector<service_id>{service_id{"s2"}});
@@ -83,6 +85,8 @@
         auto last = query.advance(at_ms(990));
         REQUIRE(last.answer);
         CHECK(last.answer->code == result_code::upstream_timeout);
+        CHECK(last.answer->first_part_after == milliseconds{20});
+        CHECK_FALSE(last.answer->enough_parts_after);
     }
     SECTION("does not count a failure of an upstream as a part, and tries the other replica") {
         auto failure = good_answer("signed failure");
