--- a/include/eelgrassledge/broker/upstream_broker.hpp
+++ b/include/eelgrassledge/broker/upstream_broker.hpp
@@ -87,6 +87,8 @@
     shard_index shard;
     std::vector<hit> hits;
     std::vector<holding> holdings;
+    /// Why the connection failed, for the log.
+    std::string reason;
 };
 
 /// What a status poll of an upstream said. It may lag or mislead; only the start id, the holdings and
--- a/src/broker/broker_queue.cpp
+++ b/src/broker/broker_queue.cpp
@@ -121,7 +121,9 @@
 }
 
 auto upstream_broker::send(sub_request request, time_point now, broker_actions& out) -> void {
-    auto fresh = !request.idempotent;
+    // The kept connections may lead to a process that is gone; a request that fails on one would be
+    // suspected.
+    auto fresh = !request.idempotent || ramp_.current() == warmth::unknown;
     if (fresh_next_ && now >= next_fresh_connection_) {
         fresh = true;
         fresh_next_ = false;
--- a/src/runtime/broker_runtime.cpp
+++ b/src/runtime/broker_runtime.cpp
@@ -6,8 +6,10 @@
 namespace eelgrassledge {
 
 struct broker_runtime::upstream_shard {
-    upstream_shard(upstream_id name, const upstream_limits& limits) : broker(std::move(name), limits) {}
+    upstream_shard(const upstream_id& given, const upstream_limits& limits)
+        : name(given), broker(given, limits) {}
 
+    const upstream_id name;
     std::mutex lock;
     upstream_broker broker;
     std::string address;
@@ -181,6 +183,13 @@
 
 auto broker_runtime::on_sent(const std::shared_ptr<upstream_shard>& shard, const sub_key& key,
                              const send_outcome& outcome) -> void {
+    if (!outcome.reason.empty()) {
+        log_(log_level::info, "sub_request_failed",
+             {{"sub_request", std::to_string(key.id.value())},
+              {"upstream", shard->name.value()},
+              {"code", std::string{describe(outcome.code).name}},
+              {"reason", outcome.reason}});
+    }
     handle(shard,
            [&](upstream_broker& broker, time_point now) { return broker.completed(key, outcome, now); });
 }
--- a/src/transport/http_call.cpp
+++ b/src/transport/http_call.cpp
@@ -31,7 +31,12 @@
     response_sink sink;
     auto headers = prepare(handle.get(), request, sink);
     auto code = curl_easy_perform(handle.get());
-    return finish_call(handle.get(), code, sink);
+    auto result = finish_call(handle.get(), code, sink);
+    if (code != CURLE_OK) {
+        // libcurl may have noted on it that the next request must be rewound first.
+        handle.reset(curl_easy_init());
+    }
+    return result;
 }
 
 auto stream_http(const http_request& request, duration silence,
--- a/src/transport/http_loop.cpp
+++ b/src/transport/http_loop.cpp
@@ -56,7 +56,7 @@
                       int local_port) -> int {
     auto& ready = *static_cast<call*>(user);
     ready.local_port = static_cast<std::uint16_t>(local_port);
-    ready.sockets->connected(ready.local_port);
+    ready.sockets->in_use(ready.local_port);
     return CURL_PREREQFUNC_OK;
 }
 
@@ -124,24 +124,16 @@
                 continue;
             }
             if (const auto* idle = std::get_if<close_idle_command>(&item)) {
-                close_idle(idle->address);
+                sockets.shut_down(idle->address);
                 continue;
             }
             auto found = handles.find(std::get<drop_command>(item).id);
             if (found != handles.end()) {
-                release(found->second);
+                release(found->second, false);
             }
         }
     }
 
-    auto close_idle(const std::string& address) -> void {
-        std::set<std::uint16_t> busy;
-        for (const auto& [handle, running] : calls) {
-            busy.insert(running->local_port);
-        }
-        sockets.shut_down(address, busy);
-    }
-
     auto begin(std::unique_ptr<call> started) -> void {
         auto* handle = take_handle();
         started->sockets = &sockets;
@@ -171,19 +163,26 @@
             curl_easy_getinfo(handle, CURLINFO_NUM_CONNECTS, &opened);
             connections_opened += static_cast<std::uint64_t>(opened);
             auto result = finish_call(handle, code, calls.at(handle)->sink);
-            auto ended = release(handle);
+            auto ended = release(handle, code == CURLE_OK);
             ended->on_done(result);
         }
     }
 
-    auto release(CURL* handle) -> std::unique_ptr<call> {
+    // A handle whose call failed is not used again: libcurl may have noted on it that the next request must
+    // be rewound first.
+    auto release(CURL* handle, bool keep) -> std::unique_ptr<call> {
         auto found = calls.find(handle);
         auto ended = std::move(found->second);
         calls.erase(found);
         handles.erase(ended->id);
+        sockets.idle_again(ended->local_port);
         curl_multi_remove_handle(multi, handle);
-        curl_easy_reset(handle);
-        idle_handles.push_back(handle);
+        if (keep) {
+            curl_easy_reset(handle);
+            idle_handles.push_back(handle);
+        } else {
+            curl_easy_cleanup(handle);
+        }
         return ended;
     }
 
--- a/src/transport/idle_sockets.cpp
+++ b/src/transport/idle_sockets.cpp
@@ -22,29 +22,58 @@
 
 }  // namespace
 
-auto idle_sockets::opened(int socket, std::string address) -> void {
-    sockets_[socket] = {std::move(address), 0};
+auto idle_sockets::opened(int socket, const std::string& address) -> void {
+    sockets_[socket] = {address, 0, false};
+    by_address_[address].insert(socket);
     connecting_.insert(socket);
 }
 
 auto idle_sockets::closed(int socket) -> void {
-    sockets_.erase(socket);
+    auto found = sockets_.find(socket);
+    if (found == sockets_.end()) {
+        return;
+    }
+    auto& same_address = by_address_[found->second.address];
+    same_address.erase(socket);
+    if (same_address.empty()) {
+        by_address_.erase(found->second.address);
+    }
+    by_port_.erase(found->second.local_port);
     connecting_.erase(socket);
+    sockets_.erase(found);
 }
 
-auto idle_sockets::connected(std::uint16_t local_port) -> void {
+auto idle_sockets::in_use(std::uint16_t local_port) -> void {
+    if (auto known = by_port_.find(local_port); known != by_port_.end()) {
+        sockets_[known->second].busy = true;
+        return;
+    }
     for (auto socket : connecting_) {
         if (local_port_of(socket) == local_port) {
-            sockets_[socket].local_port = local_port;
+            auto& state = sockets_[socket];
+            state.local_port = local_port;
+            state.busy = true;
+            by_port_[local_port] = socket;
             connecting_.erase(socket);
             return;
         }
     }
 }
 
-auto idle_sockets::shut_down(const std::string& address, const std::set<std::uint16_t>& busy) -> void {
-    for (const auto& [socket, kept] : sockets_) {
-        if (kept.address == address && kept.local_port != 0 && !busy.contains(kept.local_port)) {
+auto idle_sockets::idle_again(std::uint16_t local_port) -> void {
+    if (auto known = by_port_.find(local_port); known != by_port_.end()) {
+        sockets_[known->second].busy = false;
+    }
+}
+
+auto idle_sockets::shut_down(const std::string& address) -> void {
+    auto found = by_address_.find(address);
+    if (found == by_address_.end()) {
+        return;
+    }
+    for (auto socket : found->second) {
+        const auto& state = sockets_[socket];
+        if (state.local_port != 0 && !state.busy) {
             ::shutdown(socket, SHUT_RDWR);
         }
     }
--- a/src/transport/upstream_client.cpp
+++ b/src/transport/upstream_client.cpp
@@ -22,6 +22,7 @@
         return decode_upstream_answer(result.response.status, result.response.body, id);
     }
     send_outcome outcome;
+    outcome.reason = result.reason;
     switch (result.failure) {
         case http_failure::not_sent:
             outcome.code = result_code::upstream_unreachable;
--- a/tests/unit/http_loop.cpp
+++ b/tests/unit/http_loop.cpp
@@ -18,11 +18,9 @@
     }
     ~small_server() {
         let_go();
-        asio::error_code ignored;
-        asio::ip::tcp::socket wake{io_};
-        stopping_ = true;
-        wake.connect(acceptor_.local_endpoint(), ignored);
-        accepting_.join();
+        if (accepting_.joinable()) {
+            refuse();
+        }
         for (auto& one : serving_) {
             one.join();
         }
@@ -35,13 +33,22 @@
     }
     [[nodiscard]] auto connections() const -> int { return connections_; }
     auto let_go() -> void { held_ = false; }
+    /// Refuses connections from now on.
+    auto refuse() -> void {
+        asio::error_code ignored;
+        asio::ip::tcp::socket wake{io_};
+        refusing_ = true;
+        wake.connect(acceptor_.local_endpoint(), ignored);
+        accepting_.join();
+        acceptor_.close(ignored);
+    }
 
   private:
     auto accept() -> void {
         while (true) {
             auto socket = std::make_shared<asio::ip::tcp::socket>(io_);
             acceptor_.accept(*socket);
-            if (stopping_) {
+            if (refusing_) {
                 return;
             }
             ++connections_;
@@ -56,9 +63,18 @@
             while (text.find("/hold") != std::string::npos && held_) {
                 std::this_thread::sleep_for(milliseconds{1});
             }
+            auto is_last = text.find("/last") != std::string::npos;
+            if (text.find("/drop") != std::string::npos) {
+                socket.close(failed);
+                return;
+            }
             text.clear();
             asio::write(socket, asio::buffer(std::string{"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"}),
                         failed);
+            if (is_last) {
+                socket.close(failed);
+                return;
+            }
         }
     }
 
@@ -66,7 +82,7 @@
     asio::ip::tcp::acceptor acceptor_{io_, {asio::ip::address_v4::loopback(), 0}};
     std::atomic<int> connections_{0};
     std::atomic<bool> held_{true};
-    std::atomic<bool> stopping_{false};
+    std::atomic<bool> refusing_{false};
     std::thread accepting_;
     std::vector<std::thread> serving_;
 };
@@ -89,6 +105,15 @@
         CHECK(start("/").get() == http_failure::none);
         CHECK(server.connections() == 1);
     }
+    SECTION("are not used again once their server has closed them") {
+        REQUIRE(start("/last").get() == http_failure::none);
+        std::this_thread::sleep_for(milliseconds{50});
+        auto result = std::make_shared<std::promise<http_failure>>();
+        loop.start({"POST", "http://" + server.address() + "/", "{}", {}, milliseconds{5000}}, false,
+                   [result](const http_result& r) { result->set_value(r.failure); });
+        CHECK(result->get_future().get() == http_failure::none);
+        CHECK(server.connections() == 2);
+    }
     SECTION("are not used again once closed as idle") {
         loop.close_idle(server.address());
         CHECK(start("/").get() == http_failure::none);
@@ -109,3 +134,27 @@
     }
     loop.stop();
 }
+
+TEST_CASE("a call that failed leaves no trace on the next") {
+    // Regression: issue 9 point 6. libcurl wanted to send a request again, could not connect, and remembered
+    // on the handle that the body must be rewound first; the next request on that handle failed for it,
+    // whatever its server.
+    small_server first;
+    small_server second;
+    http_loop loop;
+    auto post = [&](const small_server& to, const std::string& path) {
+        auto result = std::make_shared<std::promise<http_failure>>();
+        loop.start({"POST", "http://" + to.address() + path, "{}", {}, milliseconds{5000}}, false,
+                   [result](const http_result& r) { result->set_value(r.failure); });
+        return result->get_future().get();
+    };
+    auto lost = "http://" + first.address() + "/drop";
+    REQUIRE(post(first, "/") == http_failure::none);
+    first.refuse();
+    auto result = std::make_shared<std::promise<http_failure>>();
+    loop.start({"POST", lost, "{}", {}, milliseconds{5000}}, false,
+               [result](const http_result& r) { result->set_value(r.failure); });
+    REQUIRE(result->get_future().get() == http_failure::unclear);
+    CHECK(post(second, "/") == http_failure::none);
+    loop.stop();
+}
--- a/tests/unit/upstream_broker.cpp
+++ b/tests/unit/upstream_broker.cpp
@@ -277,6 +277,20 @@
             }
         }
     }
+    SECTION("are followed by one on a fresh connection") {
+        // Regression: issue 9 point 6. An innocent request went out on a connection to the process that had
+        // ended, and its failure counted as a strike at each of two upstreams: refused for an hour.
+        b.finish(2, 0, result_code::upstream_failed);
+        b.advance_to(200);
+        b.submit(3);
+        REQUIRE(b.sent().back() == 3);
+        CHECK(b.last_send().fresh_connection);
+        b.finish(3, 2);
+        b.advance_to(400);
+        b.submit(5);
+        REQUIRE(b.sent().back() == 5);
+        CHECK_FALSE(b.last_send().fresh_connection);
+    }
     SECTION("run alone as the probe of the upstream, and a second loss is a second strike") {
         // Regression: suspects were refused while the warmth was unknown; with no other request to settle it,
         // an innocent one was refused for ever (process test crash, issue 4 point 9).
