--- a/include/eelgrassledge/entry/entry_service.hpp
+++ b/include/eelgrassledge/entry/entry_service.hpp
@@ -82,7 +82,14 @@
     upstream_id upstream;
 };
 
-using entry_action = std::variant<dispatch_action, withdraw_action, reply_action, note_action>;
+/// Tells the rest of this daemon what an answer showed of a fingerprint.
+struct suspect_action {
+    fingerprint print;
+    suspicion state;
+};
+
+using entry_action =
+    std::variant<dispatch_action, withdraw_action, reply_action, note_action, suspect_action>;
 using entry_actions = std::vector<entry_action>;
 
 [[nodiscard]] auto to_string(note_reason reason) -> std::string_view;
--- a/src/entry/entry_suspects.cpp
+++ b/src/entry/entry_suspects.cpp
@@ -72,7 +72,10 @@
                                 entry_actions& out) -> bool {
     q.request.strikes = std::max(q.request.strikes, answer.strikes);
     auto& known = suspects_[q.request.print];
-    known = with_strikes(known, q.request.strikes);
+    auto before = std::exchange(known, with_strikes(known, q.request.strikes));
+    if (before != known) {
+        out.push_back(suspect_action{q.request.print, known});
+    }
     if (q.request.strikes >= STRIKES_TO_QUARANTINE) {
         withdraw_all(q, out);
         for (auto& state : q.shards) {
--- a/src/runtime/application.cpp
+++ b/src/runtime/application.cpp
@@ -70,6 +70,11 @@
             peers_->cancel(address, id);
         }
     };
+    entry.on_suspect = [this](fingerprint print, const suspicion& state) {
+        broker_->learn_suspects({{print, state, duration{0}}});
+        std::scoped_lock guard{coordinator_.lock};
+        coordinator_.decisions.report_suspect(print, state, monotonic_now());
+    };
     entry_ = std::make_unique<entry_runtime>(std::move(entry), timers_, metrics_, log_);
     broker_hooks broker;
     broker.on_message = [this](broker_message message) { on_broker_message(std::move(message)); };
--- a/tests/support/fake_entry.hpp
+++ b/tests/support/fake_entry.hpp
@@ -110,6 +110,8 @@
                 withdrawn.push_back(withdraw->id);
             } else if (auto* reply = std::get_if<reply_action>(&action)) {
                 replies.push_back(reply->answer);
+            } else if (auto* suspect = std::get_if<suspect_action>(&action)) {
+                suspects.push_back(*suspect);
             } else {
                 notes.push_back(std::get<note_action>(action).reason);
             }
@@ -123,6 +125,7 @@
     std::vector<sub_request> sent;
     std::vector<sub_request_id> withdrawn;
     std::vector<search_answer> replies;
+    std::vector<suspect_action> suspects;
     std::vector<note_reason> notes;
 };
 
--- a/tests/unit/entry_service.cpp
+++ b/tests/unit/entry_service.cpp
@@ -293,6 +293,10 @@
         CHECK(second[0].strikes == 1);
         CHECK(second[0].upstream != first[0].upstream);
         e.answer(second[0], result_code::upstream_failed, [](sub_answer& a) { a.strikes = 2; });
+        // Regression: issue 9 point 6. The broker of the first upstream in this daemon knew of one strike
+        // only until the next sync, and let a third upstream fall.
+        REQUIRE(e.suspects.size() == 2);
+        CHECK(e.suspects[1].state.strikes == 2);
         CHECK(e.take_sent().empty());
         CHECK(e.replies.at(0).code == result_code::crashed_upstreams);
         e.submit(e.request("again"));
