--- a/include/eelgrassledge/entry/entry_service.hpp
+++ b/include/eelgrassledge/entry/entry_service.hpp
@@ -85,7 +85,7 @@
 /// Tells the rest of this daemon what an answer showed of a fingerprint.
 struct suspect_action {
     fingerprint print;
-    suspicion state;
+    std::uint32_t strikes = 0;
 };
 
 using entry_action =
--- a/include/eelgrassledge/runtime/application.hpp
+++ b/include/eelgrassledge/runtime/application.hpp
@@ -33,6 +33,11 @@
     std::optional<duration> retry_after;
 };
 
+/// A response with a JSON text.
+[[nodiscard]] inline auto json_response(int status, std::string text) -> api_response {
+    return {status, "application/json", std::move(text), std::nullopt};
+}
+
 /// One daemon without its HTTP server: entry, broker, membership and platform joined together.
 ///
 /// All functions may be called from any thread.
--- a/include/eelgrassledge/runtime/broker_runtime.hpp
+++ b/include/eelgrassledge/runtime/broker_runtime.hpp
@@ -50,6 +50,9 @@
     };
     auto set_ownership(const std::vector<ownership>& owned) -> void;
 
+    /// Records what an answer told an entry of this daemon, and gives what is known then.
+    auto learn_strikes(fingerprint print, std::uint32_t strikes) -> suspicion;
+
     /// Takes over what other daemons know of suspect requests.
     auto learn_suspects(const std::vector<suspect_report>& reports) -> void;
 
--- a/include/eelgrassledge/runtime/entry_runtime.hpp
+++ b/include/eelgrassledge/runtime/entry_runtime.hpp
@@ -23,7 +23,7 @@
 struct entry_hooks {
     std::function<void(const instance_id& broker, sub_request)> send;
     std::function<void(const instance_id& broker, const upstream_id&, sub_request_id)> withdraw;
-    std::function<void(fingerprint, const suspicion&)> on_suspect;
+    std::function<void(fingerprint, std::uint32_t strikes)> on_suspect;
 };
 
 /// Runs the queries of this entry: one decision object for each service, each under its own lock, joined
--- a/src/entry/entry_suspects.cpp
+++ b/src/entry/entry_suspects.cpp
@@ -74,7 +74,7 @@
     auto& known = suspects_[q.request.print];
     auto before = std::exchange(known, with_strikes(known, q.request.strikes));
     if (before != known) {
-        out.push_back(suspect_action{q.request.print, known});
+        out.push_back(suspect_action{q.request.print, known.strikes});
     }
     if (q.request.strikes >= STRIKES_TO_QUARANTINE) {
         withdraw_all(q, out);
--- a/src/runtime/administration.cpp
+++ b/src/runtime/administration.cpp
@@ -11,8 +11,7 @@
 using nlohmann::json;
 
 auto json_page(int status, const json& body) -> api_response {
-    return {status, "application/json", body.dump(-1, ' ', false, json::error_handler_t::replace),
-            std::nullopt};
+    return json_response(status, body.dump(-1, ' ', false, json::error_handler_t::replace));
 }
 
 auto refusal_body(result_code code, const std::string& message) -> json {
--- a/src/runtime/application.cpp
+++ b/src/runtime/application.cpp
@@ -1,28 +1,14 @@
 #include "eelgrassledge/runtime/application.hpp"
 
-#include <algorithm>
-
-#include "eelgrassledge/claims/claim.hpp"
-
 namespace eelgrassledge {
 
 namespace {
 
-constexpr duration CONTROL_STEP = milliseconds{20};
-constexpr duration OWNERSHIP_INTERVAL = milliseconds{100};
-constexpr duration POLL_INTERVAL = milliseconds{1000};
-constexpr duration LOADS_INTERVAL = milliseconds{1000};
-/// Brokers asked for loads at a time, so that a daemon that starts does not ask a whole fleet at once.
-constexpr std::size_t MAX_LOADS_ASKED = 32;
 /// While it stops, a daemon still takes work for this long, so that the balancer can notice.
 constexpr duration STOP_NOTICE = milliseconds{1500};
-/// An entry whose zone or instance was taken out still takes work for this long.
-constexpr duration OUT_NOTICE = milliseconds{3000};
 /// Once its own work is finished, a daemon waits this long for a successor to take its upstreams over.
 constexpr duration RELEASE_WAIT = milliseconds{3000};
 constexpr duration DRAIN_STEP = milliseconds{20};
-/// A lease for claims is replaced when it has this long to live less than a claim should.
-constexpr duration CLAIM_LEASE_AGE = seconds{3600};
 const link_id LOCAL_LINK{0};
 
 auto member_of(const daemon_settings& settings) -> member_info {
@@ -46,10 +32,6 @@
     return (static_cast<std::uint64_t>(device()) << 32U) ^ device();
 }
 
-auto json_response(int status, std::string body) -> api_response {
-    return {status, "application/json", std::move(body), std::nullopt};
-}
-
 }  // namespace
 
 application::application(daemon_settings settings, event_log log)
@@ -70,8 +52,8 @@
             peers_->cancel(address, id);
         }
     };
-    entry.on_suspect = [this](fingerprint print, const suspicion& state) {
-        broker_->learn_suspects({{print, state, duration{0}}});
+    entry.on_suspect = [this](fingerprint print, std::uint32_t strikes) {
+        auto state = broker_->learn_strikes(print, strikes);
         std::scoped_lock guard{coordinator_.lock};
         coordinator_.decisions.report_suspect(print, state, monotonic_now());
     };
@@ -184,145 +166,12 @@
     coordinator_.decisions.report_suspect(print, state, monotonic_now());
 }
 
-// ---- control loop ----
-
-auto application::run_control() -> void {
-    time_point next_ownership{};
-    time_point next_poll{};
-    time_point next_loads{};
-    while (!ended_) {
-        auto now = monotonic_now();
-        send_syncs();
-        apply_membership();
-        if (now >= next_ownership) {
-            next_ownership = now + OWNERSHIP_INTERVAL;
-            renew_ownership();
-        }
-        if (now >= next_poll) {
-            next_poll = now + POLL_INTERVAL;
-            broker_->poll_statuses();
-        }
-        if (now >= next_loads) {
-            next_loads = now + LOADS_INTERVAL;
-            ask_for_loads();
-        }
-        std::this_thread::sleep_for(CONTROL_STEP);
-    }
-}
-
-auto application::send_syncs() -> void {
-    auto report = broker_->summary();
-    std::vector<std::string> due;
-    sync_request request;
-    {
-        std::scoped_lock guard{coordinator_.lock};
-        auto& decisions = coordinator_.decisions;
-        decisions.report_warm_ups(std::move(report.warm_ups));
-        decisions.report_busy(std::move(report.busy));
-        due = decisions.due_syncs(monotonic_now());
-        if (due.empty()) {
-            return;
-        }
-        request = decisions.make_sync_request(monotonic_now());
-    }
-    for (const auto& address : due) {
-        peers_->sync(address, request);
-    }
-}
-
-auto application::apply_membership() -> void {
-    std::optional<document_version> version;
-    std::map<zone_id, assignment> assignments;
-    std::vector<suspect_report> suspects;
-    {
-        std::scoped_lock guard{coordinator_.lock};
-        const auto& decisions = coordinator_.decisions;
-        if (decisions.version() == applied_version_) {
-            return;
-        }
-        applied_version_ = decisions.version();
-        version = decisions.current_document();
-        assignments = decisions.assignments();
-        suspects = decisions.suspects(monotonic_now());
-    }
-    std::size_t entries = 0;
-    {
-        std::scoped_lock guard{addresses_lock_};
-        for (const auto& [zone, value] : assignments) {
-            entries += value.members.size();
-            for (const auto& member : value.members) {
-                address_by_instance_[member.instance] = member.peer_address;
-                instance_by_address_[member.peer_address] = member.instance;
-            }
-        }
-    }
-    entries_ = std::max<std::size_t>(1, entries);
-    if (!version) {
-        return;
-    }
-    {
-        std::scoped_lock guard{document_lock_};
-        document_ = version->parsed;
-    }
-    if (version->number != applied_revision_) {
-        applied_revision_ = version->number;
-        broker_->configure(*version->parsed);
-        log_(log_level::info, "configuration", {{"revision", std::to_string(version->number.value())}});
-        metrics_.set("eelgrassledge_revision_in_force", {}, static_cast<double>(version->number.value()));
-    }
-    broker_->learn_suspects(suspects);
-    entry_->configure(*version->parsed, assignments, suspects);
-    renew_ownership();
-    auto out =
-        !version->parsed->zone_is_in(settings_.zone) || !version->parsed->instance_is_in(settings_.instance);
-    if (!out) {
-        out_since_ = 0;
-    } else if (out_since_ == 0) {
-        out_since_ = monotonic_now().time_since_epoch().count();
-    }
-}
-
-auto application::renew_ownership() -> void {
-    auto doc = current_document();
-    if (!doc) {
-        return;
-    }
-    std::vector<broker_runtime::ownership> owned;
-    {
-        std::scoped_lock guard{coordinator_.lock};
-        const auto& decisions = coordinator_.decisions;
-        const auto& leaving = decisions.leaving_upstreams();
-        auto now = monotonic_now();
-        for (const auto& [name, upstream] : doc->upstreams) {
-            auto authority = decisions.authority(name, now);
-            if (!authority.owned) {
-                continue;
-            }
-            auto is_leaving =
-                std::ranges::find(leaving, name) != leaving.end() || !doc->zone_is_in(upstream.zone);
-            owned.push_back({name, authority, decisions.inherited(name), is_leaving});
-        }
-    }
-    broker_->set_ownership(owned);
-}
-
-auto application::ask_for_loads() -> void {
-    entry_->record_loads(broker_->loads());
-    std::size_t asked = 0;
-    for (const auto& broker : entry_->brokers_to_ask()) {
-        auto address = broker == settings_.instance ? std::string{} : peer_address_of(broker);
-        if (!address.empty() && asked++ < MAX_LOADS_ASKED) {
-            peers_->ask_loads(address);
-        }
-    }
-}
-
 auto application::current_document() -> std::shared_ptr<const document> {
     std::scoped_lock guard{document_lock_};
     return document_;
 }
 
-// ---- searches ----
+// ---- HTTP interface ----
 
 auto application::refuse(const respond& done, result_code code, std::string_view message,
                          const request_id& request) -> void {
@@ -336,146 +185,6 @@
     done(std::move(response));
 }
 
-auto application::find_caller(const document& doc, const std::string& key) const -> const caller_spec* {
-    auto digest = sha256_hex(key);
-    const caller_spec* found = nullptr;
-    for (const auto& caller : doc.callers) {
-        if (same_digest(caller.key_sha256, digest)) {
-            found = &caller;
-        }
-    }
-    return found;
-}
-
-auto application::lane_for(const caller_spec& caller, lane wanted) -> lane {
-    if (wanted == lane::ordinary || caller.highest_lane == lane::ordinary) {
-        return lane::ordinary;
-    }
-    auto rate = static_cast<double>(caller.priority_rate_per_s);
-    std::scoped_lock guard{lanes_lock_};
-    auto bucket = lane_rates_.try_emplace(caller.name, rate / static_cast<double>(entries_), rate).first;
-    if (bucket->second.take(monotonic_now())) {
-        return lane::priority;
-    }
-    metrics_.count("eelgrassledge_lane_rate_exceeded_total", {{"caller", caller.name.value()}});
-    return lane::ordinary;
-}
-
-auto application::takes_work() const -> bool {
-    if (refuse_new_) {
-        return false;
-    }
-    auto out_since = out_since_.load();
-    auto out_for = monotonic_now().time_since_epoch().count() - out_since;
-    return out_since == 0 || out_for < OUT_NOTICE.count();
-}
-
-auto application::search(const api_request& request, respond done) -> void {
-    if (request.body.size() > settings_.max_body_bytes) {
-        refuse(done, result_code::body_too_large, "the body exceeds the size limit", {});
-        return;
-    }
-    auto wanted = decode_search(request.body);
-    if (!wanted) {
-        refuse(done, wanted.error().code, wanted.error().message, {});
-        return;
-    }
-    start_search(request, *wanted, std::move(done));
-}
-
-auto application::start_search(const api_request& request, const caller_search& wanted, respond done)
-    -> void {
-    auto doc = current_document();
-    if (!doc) {
-        refuse(done, result_code::no_configuration, "no configuration yet", wanted.request);
-        return;
-    }
-    const auto* caller = find_caller(*doc, request.caller_key);
-    if (caller == nullptr) {
-        refuse(done, result_code::unknown_caller, "the caller's key is missing or wrong", wanted.request);
-        return;
-    }
-    if (!takes_work()) {
-        refuse(done, result_code::stopping, "this instance takes no new work", wanted.request);
-        return;
-    }
-    auto service = doc->services.find(wanted.service);
-    if (service == doc->services.end()) {
-        refuse(done, result_code::unknown_service, "no such service", wanted.request);
-        return;
-    }
-    const auto& spec = service->second;
-    search_request search;
-    search.prefer = wanted.prefer.value_or(spec.prefer);
-    auto usual = search.prefer == preference::coverage ? spec.max_deadline : spec.deadline;
-    auto allowed = wanted.deadline_ms ? duration{milliseconds{*wanted.deadline_ms}} : usual;
-    if (allowed < milliseconds{1} || allowed > spec.max_deadline) {
-        refuse(done, result_code::bad_deadline, "deadline_ms: outside 1 to max_deadline_ms", wanted.request);
-        return;
-    }
-    search.request = wanted.request;
-    search.caller = caller->name;
-    search.service = wanted.service;
-    search.priority = lane_for(*caller, wanted.wanted_lane);
-    search.idempotent = wanted.idempotent;
-    search.received = monotonic_now();
-    search.deadline = search.received + allowed;
-    search.text = wanted.text;
-    search.limit = wanted.limit;
-    search.print = fingerprint_of(wanted.service, wanted.text, wanted.limit);
-    if (!search.idempotent) {
-        run_claimed(std::move(search), done);
-        return;
-    }
-    entry_->submit(std::move(search), [done = std::move(done)](const search_answer& answer) {
-        auto response = json_response(http_status_of(answer.code), encode_answer(answer));
-        response.retry_after = answer.retry_after;
-        done(std::move(response));
-    });
-}
-
-auto application::claim_lifetime() -> result<lease_id> {
-    std::scoped_lock guard{claims_lock_};
-    if (claim_lease_ && monotonic_now() < claim_lease_until_) {
-        return *claim_lease_;
-    }
-    auto granted = platform_->platform_store().grant(CLAIM_LIFETIME +
-                                                     std::chrono::duration_cast<seconds>(CLAIM_LEASE_AGE));
-    if (granted) {
-        claim_lease_ = *granted;
-        claim_lease_until_ = monotonic_now() + CLAIM_LEASE_AGE;
-    }
-    return granted;
-}
-
-auto application::run_claimed(search_request request, const respond& done) -> void {
-    std::thread{[this, request = std::move(request), done]() mutable {
-        const auto& platform = platform_->platform_store();
-        auto lifetime = claim_lifetime();
-        if (!lifetime) {
-            refuse(done, result_code::claim_unavailable, "the platform's store cannot be reached",
-                   request.request);
-            return;
-        }
-        auto attempt = settings_.instance.value() + "/" + nonce_ + "/" + std::to_string(next_attempt_++);
-        auto held = take_claim(platform, request.caller, request.request, attempt, *lifetime);
-        if (!held) {
-            refuse(done, held.error().code, held.error().message, request.request);
-            return;
-        }
-        entry_->submit(std::move(request), [this, held = *held, done](const search_answer& answer) {
-            auto response = json_response(http_status_of(answer.code), encode_answer(answer));
-            response.retry_after = answer.retry_after;
-            if (answer.state == run_state::not_run) {
-                std::thread{[this, held] { release_claim(platform_->platform_store(), held); }}.detach();
-            }
-            done(std::move(response));
-        });
-    }}.detach();
-}
-
-// ---- HTTP interface ----
-
 auto application::handle(const api_request& request, respond done) -> void {
     if (request.method == "POST" && request.path == "/search") {
         search(request, std::move(done));
--- a/src/runtime/broker_runtime.cpp
+++ b/src/runtime/broker_runtime.cpp
@@ -272,6 +272,11 @@
     hooks_.on_strike(strike.print, state);
 }
 
+auto broker_runtime::learn_strikes(fingerprint print, std::uint32_t strikes) -> suspicion {
+    return suspects_.change(print, monotonic_now(),
+                            [&](const suspicion& known) { return with_strikes(known, strikes); });
+}
+
 auto broker_runtime::learn_suspects(const std::vector<suspect_report>& reports) -> void {
     auto now = monotonic_now();
     for (const auto& told : reports) {
--- a/src/runtime/entry_runtime.cpp
+++ b/src/runtime/entry_runtime.cpp
@@ -156,7 +156,7 @@
         } else if (auto* note = std::get_if<note_action>(&action)) {
             count_note(*shard, *note);
         } else if (auto* suspect = std::get_if<suspect_action>(&action)) {
-            hooks_.on_suspect(suspect->print, suspect->state);
+            hooks_.on_suspect(suspect->print, suspect->strikes);
         }
     }
 }
--- a/tests/threads/sharded_state.cpp
+++ b/tests/threads/sharded_state.cpp
@@ -83,7 +83,7 @@
         runtime->on_message(message);
     };
     hooks.withdraw = [](const instance_id&, const upstream_id&, sub_request_id) {};
-    hooks.on_suspect = [](fingerprint, const suspicion&) {};
+    hooks.on_suspect = [](fingerprint, std::uint32_t) {};
     entry_runtime entry{std::move(hooks), timers, counters, [](log_level, std::string_view, const auto&) {}};
     runtime = &entry;
     auto doc = two_services();
--- a/tests/unit/entry_service.cpp
+++ b/tests/unit/entry_service.cpp
@@ -296,7 +296,7 @@
         // Regression: issue 9 point 6. The broker of the first upstream in this daemon knew of one strike
         // only until the next sync, and let a third upstream fall.
         REQUIRE(e.suspects.size() == 2);
-        CHECK(e.suspects[1].state.strikes == 2);
+        CHECK(e.suspects[1].strikes == 2);
         CHECK(e.take_sent().empty());
         CHECK(e.replies.at(0).code == result_code::crashed_upstreams);
         e.submit(e.request("again"));
--- a/tests/unit/suspicion.cpp
+++ b/tests/unit/suspicion.cpp
@@ -43,6 +43,12 @@
         table.change(poison, at_ms(5), merge({0, 1}));
         CHECK(table.strikes(poison) == 2);
     }
+    SECTION("counts strikes that an entry learned after a withdrawal") {
+        // The entry knows nothing of withdrawals; its count must not be taken for older knowledge.
+        table.change(poison, at_ms(20), merge({1, 0}));
+        table.change(poison, at_ms(30), [](const suspicion& known) { return with_strikes(known, 2); });
+        CHECK(table.strikes(poison) == 2);
+    }
     SECTION("takes a withdrawal from elsewhere") {
         table.change(poison, at_ms(20), merge({1, 1}));
         CHECK(table.strikes(poison) == 1);
