Report a zone that is cut off as not ready, and avoid silent zones

Cause: an instance was ready as soon as it knew configuration and upstreams. Its zone holds about half of the shards, too few for any answer, but the balancer kept sending it the zone's callers; each query waited for connections that neither opened nor were refused. Elsewhere each instance learned of each upstream in the cut zone by a connect timeout of its own.

Ruled out: load (no refusals by upstreams), missing configuration (the cut zone had it), the balancer's probes (they reach a cut zone: readiness answered 503 there moves its callers).

Fix: three attempts in a row that are neither answered nor refused make a zone silent. Its replicas get work last. If all other zones are silent, at least two, and the own one holds too few shards for some route, the instance is not ready, refuses at once what it can't serve, truly, and proposes to come back when the balancer has moved the caller. Probes between instances show the zone's return.

--- a/include/eelgrassledge/proxy/forwarder.hpp
+++ b/include/eelgrassledge/proxy/forwarder.hpp
@@ -46,6 +46,14 @@
     [[nodiscard]] auto instances() -> instance_directory& { return instances_; }
     [[nodiscard]] auto running() const -> std::size_t { return queries_.size(); }
 
+    /// Whether every route has upstreams for enough of its shards in zones that are not silent. Linear in the
+    /// routes and their shards.
+    [[nodiscard]] auto serves_all_routes(time_point now) const -> bool;
+
+    /// Asks an instance of each silent zone for a sign, so that its return is noticed without traffic; call
+    /// about twice a second.
+    auto probe_silent_zones(time_point now) -> void;
+
     /// Closes idle connections and forgets upstreams that are gone; call about once a second.
     auto sweep(time_point now) -> void;
 
@@ -81,6 +89,7 @@
     auto cancel(attempt_id attempt) -> void;
     auto cancel_all(const query_actions& actions) -> void;
     auto take_result(query_number number, const send_order& order, exchange_result result) -> void;
+    auto note_reach(const zone_id& zone, const exchange_result& result) -> void;
     [[nodiscard]] auto to_outcome(exchange_result result) const -> attempt_outcome;
     auto answer(query_number number, const query_answer& answer) -> void;
     auto observe_stages(const std::string& route_name, const query_answer& answer, duration took) -> void;
--- a/include/eelgrassledge/proxy/forwarding_node.hpp
+++ b/include/eelgrassledge/proxy/forwarding_node.hpp
@@ -63,6 +63,7 @@
   private:
     auto tick() -> void;
     auto check_stop(time_point now) -> void;
+    auto check_cut_off(time_point now) -> void;
     auto count_instances() -> void;
 
     network_context& network_;
@@ -81,6 +82,7 @@
     std::unique_ptr<store_follower> follower_;
     asio::steady_timer ticks_;
     bool upstreams_known_ = false;
+    bool cut_off_ = false;
     bool stopping_ = false;
     time_point stop_began_;
     std::function<void()> on_stopped_;
--- a/include/eelgrassledge/proxy/http_connection.hpp
+++ b/include/eelgrassledge/proxy/http_connection.hpp
@@ -34,6 +34,13 @@
     broken,         ///< The connection ended, or other bytes than an answer came.
 };
 
+/// What an exchange tells of the way to the remote machine.
+enum class remote_sign : std::uint8_t {
+    none,    ///< Nothing.
+    heard,   ///< Something came back, if only a refused connection.
+    silent,  ///< Nothing came back in the time that was given.
+};
+
 struct exchange_result {
     exchange_end end = exchange_end::broken;
     int status = 0;
@@ -42,6 +49,7 @@
     std::string reason;
     /// Whether any byte of an answer came.
     bool answer_begun = false;
+    remote_sign sign = remote_sign::none;
 };
 
 /// One connection to an HTTP server that carries one exchange at a time.
@@ -76,7 +84,7 @@
     auto wait_for_bytes() -> void;
     auto read_bytes() -> void;
     auto finish_answer(bool bytes_left) -> void;
-    auto fail(exchange_end end, std::string reason) -> void;
+    auto fail(exchange_end end, std::string reason, remote_sign sign = remote_sign::none) -> void;
 
     network_context& network_;
     asio::ip::tcp::endpoint remote_;
--- a/include/eelgrassledge/proxy/http_server.hpp
+++ b/include/eelgrassledge/proxy/http_server.hpp
@@ -79,8 +79,8 @@
     /// Limits for requests that begin from now on.
     auto configure(const caller_limits& limits) -> void { limits_ = limits; }
 
-    /// Announces with every answer that its connection ends.
-    auto begin_stop() -> void { stopping_ = true; }
+    /// Whether every answer from now on announces that its connection ends.
+    auto end_connections(bool end) -> void { ends_connections_ = end; }
 
     /// Closes the connections on which no request has begun.
     auto close_idle() -> void;
@@ -100,7 +100,7 @@
     asio::steady_timer accept_retry_;
     caller_limits limits_;
     std::unordered_set<shared_session> sessions_;
-    bool stopping_ = false;
+    bool ends_connections_ = false;
 };
 
 }  // namespace eelgrassledge
--- a/include/eelgrassledge/proxy/peer_calls.hpp
+++ b/include/eelgrassledge/proxy/peer_calls.hpp
@@ -32,6 +32,8 @@
         attempt_id call;
         instance_record to;
         std::string bytes;
+        /// A kept connection may be silent while a new one is not.
+        bool fresh_connection = false;
         std::chrono::microseconds confirm_within{};
         std::chrono::microseconds answer_within{};
         done on_done;
--- a/include/eelgrassledge/proxy/peer_protocol.hpp
+++ b/include/eelgrassledge/proxy/peer_protocol.hpp
@@ -25,6 +25,10 @@
 /// Answer for some shards: which ones are in, the signature of each, and their merged records as the body.
 [[nodiscard]] auto to_peer_response(const query_answer& answer) -> outbound_response;
 
+/// Bytes of a request by which an instance learns whether the way to another one is open.
+[[nodiscard]] auto probe_request() -> std::string;
+[[nodiscard]] auto is_probe(const inbound_request& request) -> bool;
+
 /// Answer that nothing was done with a request.
 [[nodiscard]] auto peer_not_taken() -> outbound_response;
 [[nodiscard]] auto is_not_taken(const std::vector<http_header>& headers) -> bool;
--- a/include/eelgrassledge/routing/route_table.hpp
+++ b/include/eelgrassledge/routing/route_table.hpp
@@ -34,6 +34,9 @@
     std::size_t top_records = 0;
     /// Share of the shards that a successful answer must contain.
     double min_shard_ratio = 1;
+
+    /// Fewest parts of a successful answer, at least one.
+    [[nodiscard]] auto required_parts() const -> std::size_t;
 };
 
 /// One route of the configuration.
--- a/include/eelgrassledge/routing/routing_state.hpp
+++ b/include/eelgrassledge/routing/routing_state.hpp
@@ -4,12 +4,14 @@
 #include <string>
 #include <unordered_map>
 
+#include "eelgrassledge/core/result_code.hpp"
 #include "eelgrassledge/entry/latency_tracker.hpp"
 #include "eelgrassledge/routing/directory.hpp"
 #include "eelgrassledge/routing/load_shedder.hpp"
 #include "eelgrassledge/routing/retry_budget.hpp"
 #include "eelgrassledge/routing/route_table.hpp"
 #include "eelgrassledge/routing/warm_up_share.hpp"
+#include "eelgrassledge/routing/zone_reachability.hpp"
 
 namespace eelgrassledge {
 
@@ -36,6 +38,9 @@
     double late_patience = 2;
     /// Wait proposed to a caller whose request was refused.
     duration retry_after = milliseconds{100};
+    /// Time in which the balancer in front of the instances stops sending new connections to one that is not
+    /// ready: two missed answers, a second apart.
+    duration balancer_delay = milliseconds{2300};
 };
 
 /// What all queries of one instance share: the upstreams, budgets and measured latencies.
@@ -44,7 +49,10 @@
 class routing_state {
   public:
     routing_state(routing_policy policy, directory_limits limits, std::function<double()> random)
-        : policy_(std::move(policy)), upstreams_(limits), random_(std::move(random)) {}
+        : policy_(std::move(policy)),
+          upstreams_(limits),
+          zones_(policy_.own_zone),
+          random_(std::move(random)) {}
 
     /// Changes choices and bounds for what is decided from now on.
     auto reconfigure(const routing_policy& policy, directory_limits limits) -> void {
@@ -54,6 +62,7 @@
 
     [[nodiscard]] auto policy() const -> const routing_policy& { return policy_; }
     [[nodiscard]] auto upstreams() -> directory& { return upstreams_; }
+    [[nodiscard]] auto zones() -> zone_reachability& { return zones_; }
 
     /// Budget of extra sub-requests of a service.
     auto budget(const service_id& service) -> retry_budget& { return budgets_[service]; }
@@ -74,23 +83,33 @@
     /// Time after which a sub-request on the route is hedged.
     auto hedge_delay(const route& r) -> duration;
 
+    /// How urgently a new sub-request should avoid an upstream, its zone considered.
+    [[nodiscard]] auto preference_of(const upstream& u, time_point now) const -> preference;
+
     /// The replica that should get a sub-request now; null when none may. `tried` are passed over, and with
     /// `healthy_only` all that something speaks against.
     auto choose(const service_id& service, const std::vector<shared_upstream>& tried, bool healthy_only,
                 const service_rule* rule, time_point now) -> shared_upstream;
 
-    /// Whether any replica may get a sub-request.
+    /// Whether any replica may get a sub-request, in a zone that is not silent.
     [[nodiscard]] auto is_served(const service_id& service, time_point now) const -> bool;
 
+    /// Whether that holds for enough shards of a route, or for one of its targets.
+    [[nodiscard]] auto is_served(const route& r, time_point now) const -> bool;
+
     /// Takes the right to send one sub-request to an upstream; false while a cold one has had its share.
     auto admit_cold(const upstream& u, const service_rule* rule, time_point now) -> bool;
 
+    /// Wait to propose to a caller whose request is refused with `code`.
+    [[nodiscard]] auto retry_after(result_code code, time_point now) const -> duration;
+
     /// A number from zero up to one.
     [[nodiscard]] auto random() -> double { return random_(); }
 
   private:
     routing_policy policy_;
     directory upstreams_;
+    zone_reachability zones_;
     std::function<double()> random_;
     instance_population population_;
     std::unordered_map<service_id, retry_budget> budgets_;
--- a/src/proxy/forwarder.cpp
+++ b/src/proxy/forwarder.cpp
@@ -304,6 +304,15 @@
     arm_timer();
 }
 
+auto forwarder::serves_all_routes(time_point now) const -> bool {
+    if (!table_) {
+        return false;
+    }
+    const auto& routes = table_->routes();
+    return std::all_of(routes.begin(), routes.end(),
+                       [&](const route& r) { return state_.is_served(r, now); });
+}
+
 auto forwarder::sweep(time_point now) -> void {
     state_.upstreams().sweep(now);
     peers_.sweep(now);
--- a/src/proxy/forwarder_sends.cpp
+++ b/src/proxy/forwarder_sends.cpp
@@ -21,6 +21,9 @@
 constexpr duration MIN_CONFIRM = milliseconds{15};
 constexpr duration MAX_CONFIRM = milliseconds{60};
 
+/// Time for another instance to answer a probe of the way to its zone.
+constexpr duration PROBE_TIMEOUT = milliseconds{300};
+
 /// Status by which another upstream at the address rejects a request.
 constexpr int MISDIRECTED = 421;
 
@@ -71,6 +74,7 @@
 auto forwarder::take_group_result(query_number number, const group_order& order, peer_call_result result)
     -> void {
     const auto& runner = order.group.runner;
+    note_reach(runner.zone, result.answer);
     group_outcome outcome;
     if (result.end == peer_call_end::answered) {
         instances_.answered(runner.id);
@@ -186,8 +190,38 @@
     return outcome;
 }
 
+auto forwarder::note_reach(const zone_id& zone, const exchange_result& result) -> void {
+    auto now = monotonic_now();
+    if (result.sign == remote_sign::silent) {
+        if (state_.zones().unanswered(zone, now)) {
+            log_(log_level::warning, "zone_silent", {{"zone", zone.value()}, {"last", result.reason}});
+        }
+    } else if (result.sign == remote_sign::heard && state_.zones().answered(zone, now)) {
+        log_(log_level::info, "zone_heard_again", {{"zone", zone.value()}});
+    }
+}
+
+auto forwarder::probe_silent_zones(time_point now) -> void {
+    for (const auto& zone : state_.zones().silent_zones(now)) {
+        auto instances = instances_.all_in(zone);
+        if (instances.empty()) {
+            continue;
+        }
+        auto at = static_cast<std::size_t>(state_.random() * static_cast<double>(instances.size()));
+        peer_calls::order probe;
+        probe.call = attempt_id{next_attempt_++};
+        probe.to = instances[std::min(at, instances.size() - 1)];
+        probe.bytes = probe_request();
+        probe.fresh_connection = true;
+        probe.confirm_within = PROBE_TIMEOUT;
+        probe.on_done = [this, zone](const peer_call_result& result) { note_reach(zone, result.answer); };
+        peers_.start(std::move(probe));
+    }
+}
+
 auto forwarder::take_result(query_number number, const send_order& order, exchange_result result) -> void {
     attempts_.erase(order.attempt);
+    note_reach(order.to->record().zone, result);
     auto found = queries_.find(number);
     if (found == queries_.end()) {
         return;
--- a/src/proxy/forwarding_node.cpp
+++ b/src/proxy/forwarding_node.cpp
@@ -1,5 +1,7 @@
 #include "eelgrassledge/proxy/forwarding_node.hpp"
 
+#include "eelgrassledge/proxy/peer_protocol.hpp"
+
 namespace eelgrassledge {
 
 namespace {
@@ -7,9 +9,6 @@
 /// Interval of housekeeping: idle connections, slow callers, the stop.
 constexpr std::chrono::milliseconds TICK{500};
 
-/// Callers may be sent here until the balancer has missed two answers, a second apart.
-constexpr duration BALANCER_DELAY = milliseconds{2300};
-
 /// Room for the headers that instances add to a caller's request.
 constexpr std::size_t PEER_HEADER_BYTES = 1024;
 
@@ -37,6 +36,8 @@
              [this](const shared_session& s, inbound_request r) {
                  if (feed_server::is_feed_request(r)) {
                      feed_server_.handle(s, r);
+                 } else if (is_probe(r)) {
+                     s->respond({204, {}, ""});
                  } else {
                      forwarder_.handle_for_peer(s, std::move(r));
                  }
@@ -79,7 +80,7 @@
 }
 
 auto forwarding_node::is_ready() const -> bool {
-    return !stopping_ && upstreams_known_ && forwarder_.table() != nullptr;
+    return !stopping_ && upstreams_known_ && forwarder_.table() != nullptr && !cut_off_;
 }
 
 auto forwarding_node::reconfigure(const forwarder_settings& settings) -> void {
@@ -206,13 +207,13 @@
     stop_began_ = monotonic_now();
     on_stopped_ = std::move(on_stopped);
     log_(log_level::info, "stopping", {{"running", std::to_string(forwarder_.running())}});
-    callers_.begin_stop();
-    peers_.begin_stop();
+    callers_.end_connections(true);
+    peers_.end_connections(true);
 }
 
 auto forwarding_node::check_stop(time_point now) -> void {
     auto age = now - stop_began_;
-    if (age < BALANCER_DELAY) {
+    if (age < settings_.forwarding.policy.balancer_delay) {
         return;
     }
     callers_.close_idle();
@@ -226,8 +227,29 @@
     }
 }
 
+// The balancer sends callers to another zone once no instance of this one is ready. Callers that keep their
+// connections are asked to open new ones from then on; before, these would come back here.
+auto forwarding_node::check_cut_off(time_point now) -> void {
+    const auto& zones = forwarder_.state().zones();
+    auto lasts = zones.cut_off_for(now);
+    // What this zone holds itself goes on being served here.
+    auto was_cut_off = std::exchange(cut_off_, zones.is_cut_off(now) && !forwarder_.serves_all_routes(now));
+    if (was_cut_off != cut_off_) {
+        log_(log_level::warning, cut_off_ ? "zone_cut_off" : "zone_rejoined",
+             {{"zone", settings_.zone.value()},
+              {"silent_zones", std::to_string(zones.silent_zones(now).size())}});
+    }
+    auto is_rerouted = cut_off_ && lasts >= settings_.forwarding.policy.balancer_delay;
+    callers_.end_connections(is_rerouted || stopping_);
+    if (is_rerouted) {
+        callers_.close_idle();
+    }
+}
+
 auto forwarding_node::tick() -> void {
     auto now = monotonic_now();
+    forwarder_.probe_silent_zones(now);
+    check_cut_off(now);
     callers_.check_times(now);
     readiness_.check_times(now);
     metrics_.check_times(now);
--- a/src/proxy/http_connection.cpp
+++ b/src/proxy/http_connection.cpp
@@ -89,7 +89,7 @@
     connect_timer_.expires_after(CONNECT_TIMEOUT);
     connect_timer_.async_wait([self](const asio::error_code& fault) {
         if (!fault && !self->connected_) {
-            self->fail(exchange_end::not_connected, "connect timeout");
+            self->fail(exchange_end::not_connected, "connect timeout", remote_sign::silent);
         }
     });
     socket_.async_connect(remote_, [self](const asio::error_code& fault) {
@@ -98,7 +98,9 @@
         }
         self->connect_timer_.cancel();
         if (fault) {
-            self->fail(exchange_end::not_connected, fault.message());
+            auto refused = fault == asio::error::connection_refused || fault == asio::error::connection_reset;
+            self->fail(exchange_end::not_connected, fault.message(),
+                       refused ? remote_sign::heard : remote_sign::none);
             return;
         }
         self->connected_ = true;
@@ -171,7 +173,8 @@
         return;
     }
     if (fault) {
-        fail(exchange_end::broken, "read: " + fault.message());
+        auto sign = fault == asio::error::timed_out ? remote_sign::silent : remote_sign::none;
+        fail(exchange_end::broken, "read: " + fault.message(), sign);
         return;
     }
     auto bytes = std::string_view{network_.scratch}.substr(0, count);
@@ -199,6 +202,7 @@
     exchange_result result;
     result.end = exchange_end::answered;
     result.answer_begun = true;
+    result.sign = remote_sign::heard;
     result.status = parser_->status();
     result.headers = parser_->headers();
     result.body = parser_->take_body();
@@ -215,11 +219,12 @@
     callback(std::move(result));
 }
 
-auto http_connection::fail(exchange_end end, std::string reason) -> void {
+auto http_connection::fail(exchange_end end, std::string reason, remote_sign sign) -> void {
     exchange_result result;
     result.end = end;
     result.reason = std::move(reason);
     result.answer_begun = parser_ && parser_->has_begun();
+    result.sign = result.answer_begun ? remote_sign::heard : sign;
     auto callback = std::exchange(on_done_, nullptr);
     close();
     if (callback) {
--- a/src/proxy/http_server.cpp
+++ b/src/proxy/http_server.cpp
@@ -129,7 +129,7 @@
         return;
     }
     abandoned_ = nullptr;
-    auto close_after = !keep_alive_ || server_.stopping_;
+    auto close_after = !keep_alive_ || server_.ends_connections_;
     write(to_bytes(response, close_after, to_head_), close_after);
 }
 
--- a/src/proxy/peer_calls.cpp
+++ b/src/proxy/peer_calls.cpp
@@ -33,6 +33,7 @@
     calls_.emplace(id, running_call{o.to.peer_address, timer, std::move(o.on_done)});
     connection_pool::order call;
     call.attempt = id;
+    call.fresh_connection = o.fresh_connection;
     call.bytes = [bytes = std::move(o.bytes)] { return bytes; };
     call.on_interim = [timer, on_time, within = o.answer_within] {
         timer->expires_after(within);
@@ -59,6 +60,7 @@
     pool_of(found->second.address).cancel(call);
     peer_call_result result;
     result.answer.reason = "no answer in time";
+    result.answer.sign = remote_sign::silent;
     finish(call, std::move(result));
 }
 
--- a/src/proxy/peer_protocol.cpp
+++ b/src/proxy/peer_protocol.cpp
@@ -18,6 +18,9 @@
 constexpr std::string_view SIGNATURES_HEADER = "X-Eelgrassledge-Signatures";
 constexpr std::string_view NOT_TAKEN_HEADER = "X-Eelgrassledge-Not-Taken";
 
+/// Path of a probe, by which an instance learns whether the way to another one is open.
+constexpr std::string_view PROBE_TARGET = "/probe";
+
 constexpr std::size_t BITS_PER_DIGIT = 4;
 
 auto digit_value(char c) -> int {
@@ -46,6 +49,14 @@
 
 }  // namespace
 
+auto probe_request() -> std::string {
+    return "GET " + std::string{PROBE_TARGET} + " HTTP/1.1\r\nHost: peer\r\n\r\n";
+}
+
+auto is_probe(const inbound_request& request) -> bool {
+    return request.target == PROBE_TARGET;
+}
+
 auto to_bitmap(const std::vector<std::size_t>& positions) -> std::string {
     std::string text;
     for (auto position : positions) {
--- a/src/routing/gather_placement.cpp
+++ b/src/routing/gather_placement.cpp
@@ -15,7 +15,7 @@
 auto gather_placement::zones_of(const service_id& shard, time_point now) const -> std::vector<zone_id> {
     std::vector<zone_id> zones;
     for (const auto& u : state_.upstreams().replicas(shard)) {
-        auto usable = !state_.upstreams().is_evacuated(*u) && u->preference_at(now) == preference::normal;
+        auto usable = state_.preference_of(*u, now) == preference::normal;
         if (usable && std::find(zones.begin(), zones.end(), u->record().zone) == zones.end()) {
             zones.push_back(u->record().zone);
         }
--- a/src/routing/route_table.cpp
+++ b/src/routing/route_table.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cctype>
+#include <cmath>
 
 namespace eelgrassledge {
 
@@ -14,8 +15,16 @@
     return name;
 }
 
+/// Share times number of shards may lie this much above a whole number for want of exact fractions.
+constexpr double ROUNDING = 1e-9;
+
 }  // namespace
 
+auto gather_rule::required_parts() const -> std::size_t {
+    auto exact = min_shard_ratio * static_cast<double>(shards.size());
+    return std::max<std::size_t>(1, static_cast<std::size_t>(std::ceil(exact - ROUNDING)));
+}
+
 route_table::route_table(route_table_content content) : content_(std::move(content)) {
     for (std::size_t i = 0; i < content_.routes.size(); ++i) {
         const auto& r = content_.routes[i];
--- a/src/routing/routed_query.cpp
+++ b/src/routing/routed_query.cpp
@@ -3,7 +3,6 @@
 #include <fmt/format.h>
 
 #include <algorithm>
-#include <cmath>
 
 #include "eelgrassledge/routing/record_merge.hpp"
 
@@ -41,9 +40,7 @@
     if (!setup_.matched->gather || !setup_.only_shards.empty()) {
         return 1;
     }
-    auto exact = setup_.matched->gather->min_shard_ratio * static_cast<double>(shards_.size());
-    constexpr double ROUNDING = 1e-9;
-    return std::max<std::size_t>(1, static_cast<std::size_t>(std::ceil(exact - ROUNDING)));
+    return setup_.matched->gather->required_parts();
 }
 
 auto routed_query::choose_shards() -> std::vector<shard_state> {
@@ -257,7 +254,7 @@
             }
         }
     }
-    answer.retry_after = state_.policy().retry_after;
+    answer.retry_after = state_.retry_after(code, now);
     if (first_part_at_) {
         answer.first_part_after = *first_part_at_ - setup_.received;
     }
--- a/src/routing/routing_state.cpp
+++ b/src/routing/routing_state.cpp
@@ -35,7 +35,7 @@
     auto best_preference = preference::never;
     double best_score = 0;
     for (const auto& u : upstreams_.replicas(service)) {
-        auto rank = upstreams_.is_evacuated(*u) ? preference::never : u->preference_at(now);
+        auto rank = preference_of(*u, now);
         auto passed_over = std::find(tried.begin(), tried.end(), u) != tried.end();
         if (passed_over || rank == preference::never || (healthy_only && rank != preference::normal)) {
             continue;
@@ -54,13 +54,40 @@
     return best;
 }
 
+auto routing_state::preference_of(const upstream& u, time_point now) const -> preference {
+    if (upstreams_.is_evacuated(u)) {
+        return preference::never;
+    }
+    auto own = u.preference_at(now);
+    return zones_.is_silent(u.record().zone, now) ? std::max(own, preference::doubtful) : own;
+}
+
 auto routing_state::is_served(const service_id& service, time_point now) const -> bool {
     const auto& replicas = upstreams_.replicas(service);
     return std::any_of(replicas.begin(), replicas.end(), [&](const shared_upstream& u) {
-        return !upstreams_.is_evacuated(*u) && u->preference_at(now) != preference::never;
+        return preference_of(*u, now) != preference::never && !zones_.is_silent(u->record().zone, now);
     });
 }
 
+auto routing_state::is_served(const route& r, time_point now) const -> bool {
+    auto serves = [&](const service_id& service) { return is_served(service, now); };
+    if (!r.gather) {
+        return std::any_of(r.targets.begin(), r.targets.end(),
+                           [&](const auto& target) { return serves(target.service); });
+    }
+    const auto& shards = r.gather->shards;
+    auto served = std::count_if(shards.begin(), shards.end(), serves);
+    return static_cast<std::size_t>(served) >= r.gather->required_parts();
+}
+
+auto routing_state::retry_after(result_code code, time_point now) const -> duration {
+    if (code == result_code::upstream_unreachable && zones_.is_cut_off(now)) {
+        // Until then the caller would come back to this zone.
+        return std::max(policy_.retry_after, policy_.balancer_delay - zones_.cut_off_for(now));
+    }
+    return policy_.retry_after;
+}
+
 auto routing_state::admit_cold(const upstream& u, const service_rule* rule, time_point now) -> bool {
     if (!u.is_cold(now)) {
         cold_shares_.erase(u.id());
