The test of a silent zone fails without its guard

Taken out, the guard was not caught: the replicas of the own zone were not slow enough to lose against those of the silent zone, which already had work.

--- a/tests/unit/routing/zone_reachability.cpp
+++ b/tests/unit/routing/zone_reachability.cpp
@@ -88,7 +88,9 @@
     SECTION("avoid a silent zone") {
         // The replicas of the own zone are slow, so that those of zone b are preferred until they are silent.
         for (const auto* id : {"s0a", "s1a", "s2a", "s3a"}) {
-            f.state.upstreams().find(upstream_id{id})->answered(milliseconds{90}, true, at_ms(0));
+            for (int i = 0; i < 10; ++i) {
+                f.state.upstreams().find(upstream_id{id})->answered(milliseconds{90}, true, at_ms(0));
+            }
         }
         routed_query before{f.state, f.setup("/gather/1"), f.next_attempt};
         for (const auto& order : before.start(at_ms(0)).sends) {
