Propose longer waits while less is admitted, shorter ones to urgent callers

Cause: the wait was a constant that knew nothing of the load.

Fix: for a query refused for want of room the wait grows with the share that is not admitted, to 1.1 s, is half as long beyond the usual 100 ms for an urgent query, and is spread over half of its length.

Evidence: the unit test of the wait fails to compile before. It stays for the callers: they return in the order of their urgency and not all at once.

--- a/include/eelgrassledge/routing/routing_state.hpp
+++ b/include/eelgrassledge/routing/routing_state.hpp
@@ -100,8 +100,8 @@
     /// Takes the right to send one sub-request to an upstream; false while a cold one has had its share.
     auto admit_cold(const upstream& u, const service_rule* rule, time_point now) -> bool;
 
-    /// Wait to propose to a caller whose request is refused with `code`.
-    [[nodiscard]] auto retry_after(result_code code, time_point now) const -> duration;
+    /// Wait to propose to a caller whose request on a route is refused with `code`.
+    [[nodiscard]] auto retry_after(result_code code, const route& r, bool urgent, time_point now) -> duration;
 
     /// A number from zero up to one.
     [[nodiscard]] auto random() -> double { return random_(); }
--- a/src/routing/load_shedder.cpp
+++ b/src/routing/load_shedder.cpp
@@ -21,6 +21,15 @@
 /// Share below which the load counts as high: two or three signs within a short time.
 constexpr double CALM_SHARE = 0.9;
 
+/// Wait of a refused caller if nothing is admitted; the share takes about that long to rise by a half.
+constexpr duration LONGEST_WAIT = seconds{1};
+
+/// Smallest part of the wait that the spread leaves.
+constexpr double LEAST_SPREAD = 0.5;
+
+/// Part of the wait that an urgent caller is asked for.
+constexpr double URGENT_WAIT = 0.5;
+
 /// Urgent queries are admitted at this multiple of the share.
 constexpr double URGENT_FACTOR = 2;
 
@@ -50,4 +59,10 @@
     return point < share;
 }
 
+auto load_shedder::extra_wait(bool urgent, double point, time_point now) const -> duration {
+    auto spread = LEAST_SPREAD + (1 - LEAST_SPREAD) * point;
+    auto part = (1 - admitted_share(now)) * spread * (urgent ? URGENT_WAIT : 1);
+    return std::chrono::duration_cast<duration>(LONGEST_WAIT * part);
+}
+
 }  // namespace eelgrassledge
--- a/src/routing/routing_state.cpp
+++ b/src/routing/routing_state.cpp
@@ -80,11 +80,14 @@
     return static_cast<std::size_t>(served) >= r.gather->required_parts();
 }
 
-auto routing_state::retry_after(result_code code, time_point now) const -> duration {
+auto routing_state::retry_after(result_code code, const route& r, bool urgent, time_point now) -> duration {
     if (code == result_code::upstream_unreachable && zones_.is_cut_off(now)) {
         // Until then the caller would come back to this zone.
         return std::max(policy_.retry_after, policy_.balancer_delay - zones_.cut_off_for(now));
     }
+    if (code == result_code::overloaded && r.gather) {
+        return policy_.retry_after + shedder(*r.gather).extra_wait(urgent, random_(), now);
+    }
     return policy_.retry_after;
 }
 
--- a/tests/unit/routing/load_shedder.cpp
+++ b/tests/unit/routing/load_shedder.cpp
@@ -40,6 +40,20 @@
         CHECK(shedder.admitted_share(at_ms(0)) > low);
         CHECK(idle.admitted_share(at_ms(20'000)) == 1);
     }
+    SECTION("asks callers to stay away longer the less is admitted, urgent ones shorter, and spreads them") {
+        CHECK(shedder.extra_wait(false, 0.5, at_ms(0)) == duration{});
+        shedder.finished(load_sign::overloaded, at_ms(0));
+        auto light = shedder.extra_wait(false, 0.5, at_ms(0));
+        for (int i = 0; i < 8; ++i) {
+            shedder.finished(load_sign::overloaded, at_ms(0));
+        }
+        auto heavy = shedder.extra_wait(false, 0.5, at_ms(0));
+        CHECK(light > duration{});
+        CHECK(heavy > 3 * light);
+        CHECK(shedder.extra_wait(true, 0.5, at_ms(0)) < heavy);
+        CHECK(shedder.extra_wait(false, 0.0, at_ms(0)) < heavy);
+        CHECK(shedder.extra_wait(false, 0.99, at_ms(0)) > heavy);
+    }
 }
 
 TEST_CASE("queries over shards that have no room") {
