Split the peer network into thread, outgoing links and incoming sessions

peer_network.cpp held the public interface, the network's thread, connections to brokers and the servers of entries. Each is a file now, over one private header. No change of behaviour.

--- /dev/null
+++ b/src/peer/outgoing_links.cpp
@@ -0,0 +1,199 @@
+// Connections to brokers: sub-requests, cancellations, loads and syncs go out, answers come back.
+
+#include "peer_loop.hpp"
+
+namespace eelgrassledge {
+
+namespace {
+
+/// Pause before a peer that could not be reached is dialled again.
+constexpr duration REDIAL_PAUSE = milliseconds{200};
+constexpr auto SYNC_TIMEOUT = 1500 * kj::MILLISECONDS;
+constexpr auto DIAL_TIMEOUT = 1000 * kj::MILLISECONDS;
+
+/// Receives the answers of one broker.
+class answer_sink final : public wire::AnswerSink::Server {
+  public:
+    explicit answer_sink(const peer_hooks& hooks) : hooks_(hooks) {}
+
+    auto deliver(DeliverContext context) -> kj::Promise<void> override {
+        for (auto answer : context.getParams().getAnswers()) {
+            hooks_.on_message(from_wire(answer));
+        }
+        return kj::READY_NOW;
+    }
+
+  private:
+    const peer_hooks& hooks_;
+};
+
+}  // namespace
+
+auto peer_network::implementation::flush(const std::string& address) -> void {
+    auto& link = link_to(address);
+    if (!link.connected) {
+        dial(address, link);
+        return;
+    }
+    if (!link.waiting.empty()) {
+        KJ_IF_MAYBE (session, link.session) {
+            send_batch(*session, link);
+        }
+    }
+    if (!link.cancelled.empty()) {
+        KJ_IF_MAYBE (session, link.session) {
+            auto request = session->cancelRequest();
+            auto ids = request.initIds(static_cast<unsigned>(link.cancelled.size()));
+            for (unsigned i = 0; i < link.cancelled.size(); ++i) {
+                ids.set(i, link.cancelled[i].value());
+            }
+            link.cancelled.clear();
+            tasks->add(request.send().ignoreResult());
+        }
+    }
+    if (link.wants_loads) {
+        KJ_IF_MAYBE (session, link.session) {
+            tasks->add(session->loadsRequest().send().then([this](auto&& response) {
+                std::vector<upstream_load> loads;
+                for (auto load : response.getLoads()) {
+                    loads.push_back(from_wire(load));
+                }
+                hooks.on_loads(loads);
+            }));
+        }
+        link.wants_loads = false;
+    }
+    auto syncs = std::move(link.syncs);
+    link.syncs.clear();
+    for (const auto& request : syncs) {
+        send_sync(address, link, request);
+    }
+}
+
+auto peer_network::implementation::send_batch(wire::Session::Client& session, outgoing_link& link) -> void {
+    auto request = session.runRequest();
+    auto batch = request.initBatch(static_cast<unsigned>(link.waiting.size()));
+    for (unsigned i = 0; i < link.waiting.size(); ++i) {
+        to_wire(link.waiting[i], batch[i]);
+    }
+    sub_requests_out += link.waiting.size();
+    link.waiting.clear();
+    tasks->add(request.send().ignoreResult());
+}
+
+auto peer_network::implementation::send_sync(const std::string& address, outgoing_link& link,
+                                             const sync_request& from) -> void {
+    KJ_IF_MAYBE (peer, link.peer) {
+        auto request = peer->syncRequest();
+        to_wire(from, request.initRequest());
+        auto sent = monotonic_now();
+        ++syncs_out;
+        auto& timer = io->provider->getTimer();
+        tasks->add(timer.timeoutAfter(SYNC_TIMEOUT, request.send())
+                       .then(
+                           [this, address, sent](auto&& response) {
+                               hooks.on_sync_reply(address, from_wire(response.getReply()), sent);
+                           },
+                           [this, address](kj::Exception&&) { hooks.on_sync_failed(address); }));
+    }
+}
+
+auto peer_network::implementation::dial(const std::string& address, outgoing_link& link) -> void {
+    if (link.redial_at > monotonic_now()) {
+        fail_waiting(address, link);
+        return;
+    }
+    if (dialling.contains(address)) {
+        return;
+    }
+    auto generation = ++next_generation;
+    link.generation = generation;
+    link.redial_at = time_point{};
+    dialling.insert(address);
+    auto connecting =
+        io->provider->getNetwork().parseAddress(address).then([](kj::Own<kj::NetworkAddress>&& target) {
+            auto connected = target->connect();
+            return connected.attach(kj::mv(target));
+        });
+    tasks->add(io->provider->getTimer()
+                   .timeoutAfter(DIAL_TIMEOUT, kj::mv(connecting))
+                   .then(
+                       [this, address, generation](kj::Own<kj::AsyncIoStream>&& stream) {
+                           connected(address, generation, kj::mv(stream));
+                       },
+                       [this, address, generation](kj::Exception&&) { lost(address, generation); }));
+}
+
+auto peer_network::implementation::connected(const std::string& address, std::uint64_t generation,
+                                             kj::Own<kj::AsyncIoStream> stream) -> void {
+    dialling.erase(address);
+    auto& link = link_to(address);
+    if (link.generation != generation) {
+        return;
+    }
+    link.stream = kj::mv(stream);
+    link.client = kj::heap<capnp::TwoPartyClient>(*link.stream);
+    auto peer = link.client->bootstrap().castAs<wire::Peer>();
+    auto open = peer.openRequest();
+    open.setSink(kj::heap<answer_sink>(hooks));
+    link.session = open.send().getSession();
+    link.peer = kj::mv(peer);
+    link.connected = true;
+    ++links_out;
+    tasks->add(link.client->onDisconnect().then([this, address, generation] { lost(address, generation); }));
+    flush(address);
+}
+
+auto peer_network::implementation::lost(const std::string& address, std::uint64_t generation) -> void {
+    dialling.erase(address);
+    auto found = links.find(address);
+    if (found == links.end() || found->second.generation != generation) {
+        return;
+    }
+    auto& link = found->second;
+    auto was_connected = link.connected;
+    link.connected = false;
+    link.redial_at = monotonic_now() + REDIAL_PAUSE;
+    // The connection is dropped once the callback that reported its loss has returned.
+    auto dropped = kj::heap<outgoing_link>();
+    dropped->client = kj::mv(link.client);
+    dropped->stream = kj::mv(link.stream);
+    dropped->session = kj::mv(link.session);
+    dropped->peer = kj::mv(link.peer);
+    link.session = nullptr;
+    link.peer = nullptr;
+    tasks->add(kj::evalLater([keep = kj::mv(dropped)]() mutable {
+        keep->session = nullptr;
+        keep->peer = nullptr;
+        keep->client = nullptr;
+        keep->stream = nullptr;
+    }));
+    if (was_connected) {
+        hooks.on_broker_lost(address);
+    }
+    fail_waiting(address, link);
+}
+
+auto peer_network::implementation::fail_waiting(const std::string& address, outgoing_link& link) -> void {
+    auto had_work = !link.waiting.empty();
+    auto syncs = link.syncs.size();
+    auto unsent = std::move(link.waiting);
+    link.waiting.clear();
+    link.cancelled.clear();
+    link.syncs.clear();
+    if (had_work) {
+        for (const auto& request : unsent) {
+            broker_message message;
+            message.answer.key = request.key;
+            message.answer.code = result_code::upstream_unreachable;
+            message.answer.snapshot = request.snapshot;
+            message.answer.shard = request.shard;
+            hooks.on_message(std::move(message));
+        }
+    }
+    for (std::size_t i = 0; i < syncs; ++i) {
+        hooks.on_sync_failed(address);
+    }
+}
+
+}  // namespace eelgrassledge
