Answer the readiness question by what is known at that moment

Cause: is_ready used the belief of the last tick, which comes twice a second.

Fix: the readiness handler decides anew before it answers.

--- a/src/proxy/forwarding_node.cpp
+++ b/src/proxy/forwarding_node.cpp
@@ -26,6 +26,7 @@
                [this](const shared_session& s, inbound_request r) { forwarder_.handle(s, std::move(r)); }),
       readiness_(network,
                  [this](const shared_session& s, const inbound_request&) {
+                     check_cut_off(monotonic_now());
                      s->respond({is_ready() ? 200 : 503, {}, ""});
                  }),
       metrics_(network,
