An instance without a configuration proposes to come back later the longer it starts

Cause: the wait proposed with result code 114 was a constant.

Fix: it is the time since the start, from 100 ms to 1 s.

It stays for starts while the store is slow or down. What would help more, fewer listings at a common start, is open (docs/CAPACITY.md).

--- a/include/eelgrassledge/proxy/forwarder.hpp
+++ b/include/eelgrassledge/proxy/forwarder.hpp
@@ -75,6 +75,7 @@
         std::unique_ptr<connection_pool> connections;
     };
 
+    [[nodiscard]] auto retry_after(result_code code) const -> duration;
     auto refuse(const shared_session& session, const request_id& id, result_code code) -> void;
     auto refuse_suspect(const shared_session& session, fingerprint print, const request_id& id) -> bool;
     auto note_crashes(const running_query& query, const send_order& order, const attempt_outcome& outcome)
@@ -101,6 +102,7 @@
     auto wake_up() -> void;
 
     network_context& network_;
+    time_point started_ = monotonic_now();
     forwarder_settings settings_;
     event_log log_;
     metrics& counters_;
--- a/include/eelgrassledge/routing/load_shedder.hpp
+++ b/include/eelgrassledge/routing/load_shedder.hpp
@@ -33,9 +33,9 @@
     /// share is refused, at most.
     [[nodiscard]] auto admits(bool urgent, double point, time_point now) const -> bool;
 
-    /// Wait to propose to a refused caller beyond the usual one: longer the less is admitted, half as long for
-    /// an urgent query, so that it comes back first. `point` is drawn evenly from zero to one and spreads the
-    /// callers, who would otherwise come back together as they were refused.
+    /// Wait to propose to a refused caller beyond the usual one: longer the less is admitted, half as long
+    /// for an urgent query, so that it comes back first. `point` is drawn evenly from zero to one and spreads
+    /// the callers, who would otherwise come back together as they were refused.
     [[nodiscard]] auto extra_wait(bool urgent, double point, time_point now) const -> duration;
 
   private:
--- a/src/proxy/forwarder.cpp
+++ b/src/proxy/forwarder.cpp
@@ -15,6 +15,9 @@
 /// Time that a caller without a deadline of its own is given on a route without a timeout.
 constexpr duration DEFAULT_DEADLINE = seconds{10};
 
+/// Longest wait proposed by an instance that has no configuration yet.
+constexpr duration LONGEST_START_WAIT = seconds{1};
+
 auto make_random() -> std::function<double()> {
     auto engine = std::make_shared<std::minstd_rand>(std::random_device{}());
     return [engine] { return std::uniform_real_distribution<double>{}(*engine); };
@@ -120,8 +123,18 @@
     begin(session, std::move(request), id, print, std::move(setup));
 }
 
+// A start that already takes long, because the store is slow or many instances start at once, will take about
+// as long again; a caller with one retry would lose it by coming back at once.
+auto forwarder::retry_after(result_code code) const -> duration {
+    auto usual = settings_.policy.retry_after;
+    if (code != result_code::no_configuration) {
+        return usual;
+    }
+    return std::clamp<duration>(monotonic_now() - started_, usual, LONGEST_START_WAIT);
+}
+
 auto forwarder::refuse(const shared_session& session, const request_id& id, result_code code) -> void {
-    auto response = own_answer(code, settings_.policy.retry_after);
+    auto response = own_answer(code, retry_after(code));
     log_(log_level::info, "refused",
          {{"request_id", id.value()},
           {"status", std::to_string(response.status)},
--- a/src/routing/routed_query.cpp
+++ b/src/routing/routed_query.cpp
@@ -254,7 +254,8 @@
             }
         }
     }
-    answer.retry_after = state_.retry_after(code, *setup_.matched, setup_.table->is_urgent(*setup_.matched), now);
+    answer.retry_after =
+        state_.retry_after(code, *setup_.matched, setup_.table->is_urgent(*setup_.matched), now);
     if (first_part_at_) {
         answer.first_part_after = *first_part_at_ - setup_.received;
     }
