--- a/src/routing/load_shedder.cpp
+++ b/src/routing/load_shedder.cpp
@@ -21,7 +21,7 @@
 /// Share below which the load counts as high: two or three signs within a short time.
 constexpr double CALM_SHARE = 0.9;
 
-/// Wait of a refused caller if nothing is admitted; the share takes about that long to rise by a half.
+/// Wait of a refused caller beyond the usual one if nothing is admitted.
 constexpr duration LONGEST_WAIT = seconds{1};
 
 /// Smallest part of the wait that the spread leaves.
