Pick a random instance in one place

gather_placement and the probes of silent zones each turned a random number into an index. routing_state does it for both. No change of behaviour: unit, property and the adapter's tests pass.

--- a/include/eelgrassledge/routing/routing_state.hpp
+++ b/include/eelgrassledge/routing/routing_state.hpp
@@ -106,6 +106,9 @@
     /// A number from zero up to one.
     [[nodiscard]] auto random() -> double { return random_(); }
 
+    /// A random index below `count`, which is not zero.
+    [[nodiscard]] auto random_index(std::size_t count) -> std::size_t;
+
   private:
     routing_policy policy_;
     directory upstreams_;
--- a/src/proxy/forwarder_sends.cpp
+++ b/src/proxy/forwarder_sends.cpp
@@ -207,10 +207,9 @@
         if (instances.empty()) {
             continue;
         }
-        auto at = static_cast<std::size_t>(state_.random() * static_cast<double>(instances.size()));
         peer_calls::order probe;
         probe.call = attempt_id{next_attempt_++};
-        probe.to = instances[std::min(at, instances.size() - 1)];
+        probe.to = instances[state_.random_index(instances.size())];
         probe.bytes = probe_request();
         probe.fresh_connection = true;
         probe.confirm_within = PROBE_TIMEOUT;
--- a/src/routing/gather_placement.cpp
+++ b/src/routing/gather_placement.cpp
@@ -30,8 +30,7 @@
     if (able.empty() || std::any_of(able.begin(), able.end(), is_self)) {
         return std::nullopt;
     }
-    auto at = static_cast<std::size_t>(state_.random() * static_cast<double>(able.size()));
-    return able[std::min(at, able.size() - 1)];
+    return able[state_.random_index(able.size())];
 }
 
 auto gather_placement::plan(const gather_rule& gather, const instance_directory& instances, time_point now)
--- a/src/routing/routing_state.cpp
+++ b/src/routing/routing_state.cpp
@@ -91,6 +91,11 @@
     return policy_.retry_after;
 }
 
+auto routing_state::random_index(std::size_t count) -> std::size_t {
+    auto at = static_cast<std::size_t>(random_() * static_cast<double>(count));
+    return std::min(at, count - 1);
+}
+
 auto routing_state::admit_cold(const upstream& u, const service_rule* rule, time_point now) -> bool {
     if (!u.is_cold(now)) {
         cold_shares_.erase(u.id());
