--- a/tests/support/child_process.cpp
+++ b/tests/support/child_process.cpp
@@ -3,12 +3,15 @@
 #include <arpa/inet.h>
 #include <fcntl.h>
 #include <fmt/format.h>
+#include <sys/file.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <filesystem>
 #include <fstream>
 #include <sstream>
+#include <stdexcept>
 #include <thread>
 
 namespace eelgrassledge::test {
@@ -18,32 +21,62 @@
 constexpr duration POLL_INTERVAL = milliseconds{50};
 constexpr duration STOP_LIMIT = seconds{5};
 /// Listening ports are below the kernel's range of ephemeral ports, so that outgoing connections do not
-/// occupy them. Each test process takes its ports from a block chosen by its process id, so that test
-/// processes that run at the same time use different blocks.
+/// occupy them.
 constexpr int FIRST_PORT = 10'000;
-constexpr int PORT_BLOCKS = 110;
-constexpr int PORT_BLOCK_STEP = 37;
-constexpr int PORTS_IN_BLOCK = 200;
+constexpr int ADDRESS_BLOCKS = 440;
+constexpr int PORTS_IN_BLOCK = 50;
+
+auto is_port_free(int port) -> bool {
+    auto socket_id = ::socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(static_cast<std::uint16_t>(port));
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    auto is_free = ::bind(socket_id, reinterpret_cast<sockaddr*>(&address), sizeof address) == 0;
+    ::close(socket_id);
+    return is_free;
+}
 
 }  // namespace
 
+auto reserve_address_block() -> int {
+    auto directory = std::filesystem::temp_directory_path() / "eelgrassledge-test-addresses";
+    std::filesystem::create_directories(directory);
+    for (int block = 0; block < ADDRESS_BLOCKS; ++block) {
+        auto path = (directory / std::to_string(block)).string();
+        // Child processes inherit the descriptor, so that the block stays reserved while a program that a
+        // killed test left behind still uses its addresses.
+        auto file = ::open(path.c_str(), O_RDWR | O_CREAT, 0600);
+        if (file >= 0 && ::flock(file, LOCK_EX | LOCK_NB) == 0) {
+            return block;
+        }
+        ::close(file);
+    }
+    throw std::runtime_error{"no address block is free in " + directory.string()};
+}
+
 auto free_address() -> std::string {
-    static int next = FIRST_PORT + (::getpid() * PORT_BLOCK_STEP % PORT_BLOCKS) * PORTS_IN_BLOCK;
+    static int next = 0;
+    static int end = 0;
     for (;;) {
+        if (next == end) {
+            next = FIRST_PORT + reserve_address_block() * PORTS_IN_BLOCK;
+            end = next + PORTS_IN_BLOCK;
+        }
         auto port = next++;
-        auto socket_id = ::socket(AF_INET, SOCK_STREAM, 0);
-        sockaddr_in address{};
-        address.sin_family = AF_INET;
-        address.sin_port = htons(static_cast<std::uint16_t>(port));
-        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        auto usable = ::bind(socket_id, reinterpret_cast<sockaddr*>(&address), sizeof address) == 0;
-        ::close(socket_id);
-        if (usable) {
+        if (is_port_free(port)) {
             return fmt::format("127.0.0.1:{}", port);
         }
     }
 }
 
+auto loopback_subnet() -> std::string {
+    constexpr int FIRST_SECOND_OCTET = 7;
+    constexpr int OCTET_VALUES = 256;
+    auto block = reserve_address_block();
+    return fmt::format("127.{}.{}", FIRST_SECOND_OCTET + block / OCTET_VALUES, block % OCTET_VALUES);
+}
+
 auto read_text(const std::string& path) -> std::string {
     std::ifstream file{path};
     std::ostringstream text;
--- a/tests/support/child_process.hpp
+++ b/tests/support/child_process.hpp
@@ -34,10 +34,19 @@
     int status_ = still_running;
 };
 
-/// Returns a loopback address (IP:PORT) whose port was free when checked and that this process has not
-/// returned before.
+/// Reserves a block of loopback addresses for this process and returns its number. The block is locked
+/// through a file until this process and the processes that it started have ended, so that test programs
+/// that run at the same time use different blocks. Throws `std::runtime_error` if no block is free.
+auto reserve_address_block() -> int;
+
+/// Returns a loopback address (IP:PORT) from a reserved block, whose port was free when checked and that this
+/// process has not returned before.
 [[nodiscard]] auto free_address() -> std::string;
 
+/// Returns the first three octets of a reserved loopback subnet, without a trailing dot. Programs that use
+/// the same port on different IP addresses take their addresses from it.
+[[nodiscard]] auto loopback_subnet() -> std::string;
+
 /// Checks a condition every 50 ms until it holds or `limit` has passed. Returns whether it held.
 auto eventually(duration limit, const std::function<bool()>& condition) -> bool;
 
