Obey what upstreams say about later work, and plan the end of a stop

Change: an upstream that says that it leaves gets new work for the leaving grace only, whatever its entry says; one that states a wait gets none until then (at most 60 s), and queries that need it are refused at once with the time until enough upstreams may be asked. stop_schedule decides which requests a stopping instance takes and when the last answer and the exit are due; connections with unread bytes are not closed as idle. A success without an id on a reused connection belongs to nobody.

--- a/include/eelgrassledge/proxy/caller_answers.hpp
+++ b/include/eelgrassledge/proxy/caller_answers.hpp
@@ -17,12 +17,18 @@
     std::string expected_upstream;
     /// Set by an upstream that did not run the request.
     std::string not_run;
+    /// Has the value "1" in every answer of an upstream that is leaving.
+    std::string leaving;
     /// Signatures of the parts of a merged answer, separated by commas.
     std::string part_signatures;
     /// Number of shards that are missing from a merged answer.
     std::string missing_parts;
 };
 
+/// Whether the upstream that sent these headers says that it is leaving.
+[[nodiscard]] auto is_leaving(const std::vector<http_header>& headers, const forwarding_headers& names)
+    -> bool;
+
 /// HTTP status of an answer that this instance creates itself. 503 guarantees that the request has not run
 /// and will not run; 502 and 504 guarantee nothing.
 [[nodiscard]] auto status_of(result_code code) -> int;
--- a/include/eelgrassledge/proxy/connection_pool.hpp
+++ b/include/eelgrassledge/proxy/connection_pool.hpp
@@ -33,9 +33,10 @@
         /// Called when a queued request reaches the head of the queue. If it returns false, the request is
         /// not sent and ends as `not_connected`.
         std::function<bool()> may_start;
-        /// Whether an answer belongs to this request. If it returns false, the exchange counts as `broken`
-        /// and its connection is closed.
-        std::function<bool(const exchange_result&)> is_own_answer;
+        /// Whether an answer belongs to this request; `reused` tells whether the connection carried other
+        /// requests before. If it returns false, the exchange counts as `broken` and its connection is
+        /// closed.
+        std::function<bool(const exchange_result& answer, bool reused)> is_own_answer;
         /// Called once when an interim answer (1xx) arrives: the server has received the request.
         std::function<void()> on_interim;
         http_connection::done on_done;
--- a/include/eelgrassledge/proxy/forwarder.hpp
+++ b/include/eelgrassledge/proxy/forwarder.hpp
@@ -3,6 +3,7 @@
 #include <asio/steady_timer.hpp>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -14,6 +15,7 @@
 #include "eelgrassledge/proxy/peer_calls.hpp"
 #include "eelgrassledge/routing/crash_suspects.hpp"
 #include "eelgrassledge/routing/gather_placement.hpp"
+#include "eelgrassledge/routing/stop_schedule.hpp"
 #include "eelgrassledge/runtime/event_log.hpp"
 
 namespace eelgrassledge {
@@ -52,6 +54,10 @@
     /// Number of queries that have not been answered yet.
     [[nodiscard]] auto running() const -> std::size_t { return queries_.size(); }
 
+    /// From now on refuses requests that cannot end within the schedule, and ends all others by its last
+    /// answer.
+    auto begin_stop(const stop_schedule& schedule) -> void;
+
     /// Whether every route has upstreams for enough of its shards in responsive zones. Linear in the number
     /// of routes and of their shards.
     [[nodiscard]] auto serves_all_routes(time_point now) const -> bool;
@@ -119,6 +125,9 @@
     auto cancel(attempt_id attempt) -> void;
     auto cancel_all(const query_actions& actions) -> void;
     auto on_send_result(query_number number, const send_order& order, exchange_result result) -> void;
+    /// Records what an upstream says in its answer about later requests: that it leaves, or that it wants
+    /// none for some time.
+    auto record_upstream_wishes(const shared_upstream& from, const exchange_result& answer) -> void;
     /// Records whether a zone responded, and logs when that changes.
     auto record_reachability(const zone_id& zone, const exchange_result& result) -> void;
     /// Classifies the result of an exchange: not sent, not run, unclear or answered.
@@ -140,6 +149,8 @@
 
     network_context& network_;
     time_point started_ = monotonic_now();
+    /// Set while the instance stops.
+    std::optional<stop_schedule> stop_;
     forwarder_settings settings_;
     event_log log_;
     metrics& counters_;
@@ -154,6 +165,8 @@
     std::set<std::pair<time_point, query_number>> wakeups_;
     std::unordered_map<const upstream*, pool_entry> pools_;
     std::unordered_map<attempt_id, running_send> attempts_;
+    /// Upstreams that stated a wait that cannot be used as it is; logged once for each.
+    std::set<upstream_id> bad_waits_;
     /// Upstreams to which a crash probe is open.
     std::set<upstream_id> crash_probes_;
     asio::steady_timer timer_;
--- a/include/eelgrassledge/proxy/forwarding_node.hpp
+++ b/include/eelgrassledge/proxy/forwarding_node.hpp
@@ -76,9 +76,11 @@
   private:
     /// Periodic work; schedules its next run.
     auto tick() -> void;
-    /// Once the balancer delay has passed: completes the shutdown if no sessions are left or the grace has
-    /// nearly passed.
+    /// Once the balancer delay has passed: closes idle connections and ends the shutdown when no session is
+    /// left.
     auto check_stop(time_point now) -> void;
+    /// Ends the shutdown; later calls have no effect.
+    auto end_stop() -> void;
     /// Updates whether this zone is cut off: no other zone with recent traffic responds, and some route
     /// cannot be served from here.
     auto check_cut_off(time_point now) -> void;
@@ -103,8 +105,10 @@
     asio::steady_timer ticks_;
     bool upstreams_known_ = false;
     bool cut_off_ = false;
-    bool stopping_ = false;
+    /// Set once the shutdown has begun.
+    std::optional<stop_schedule> stop_;
     time_point stop_started_;
+    asio::steady_timer stop_timer_;
     std::function<void()> on_stopped_;
 };
 
--- a/include/eelgrassledge/proxy/http_messages.hpp
+++ b/include/eelgrassledge/proxy/http_messages.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -49,4 +50,8 @@
 /// Parses a non-negative decimal integer; returns `fallback` for any other text.
 [[nodiscard]] auto to_whole_number(std::string_view text, std::int64_t fallback) -> std::int64_t;
 
+/// Parses a non-negative decimal number of seconds with an optional fraction, as in `Retry-After`; nothing
+/// for any other text, a date among them. Values above a day are returned as a day.
+[[nodiscard]] auto parse_seconds(std::string_view text) -> std::optional<duration>;
+
 }  // namespace eelgrassledge
--- a/include/eelgrassledge/proxy/http_server.hpp
+++ b/include/eelgrassledge/proxy/http_server.hpp
@@ -50,6 +50,8 @@
     auto refuse(int status) -> void;
     auto write(std::string bytes, bool close_after) -> void;
     auto finish_write(bool close_after) -> void;
+    /// Whether no byte of a request has arrived, read or not.
+    [[nodiscard]] auto is_idle() const -> bool;
     auto linger() -> void;
     auto handle_disconnect() -> void;
     auto close() -> void;
@@ -95,7 +97,10 @@
     /// Sets whether every answer from now on has `Connection: close`, after which its connection is closed.
     auto close_after_answers(bool enabled) -> void { closes_after_answers_ = enabled; }
 
-    /// Closes the connections on which no request has begun.
+    /// Closes the listening socket; later connection attempts are refused.
+    auto stop_listening() -> void;
+
+    /// Closes the connections on which no request has begun or waits to be read.
     auto close_idle() -> void;
 
     /// Closes connections that were idle, lingered or took to send a request for too long. Call about once a
--- a/include/eelgrassledge/routing/directory.hpp
+++ b/include/eelgrassledge/routing/directory.hpp
@@ -34,6 +34,10 @@
     /// Records that the entry of an upstream vanished; `may_return` if there was a recent outage of the list.
     auto vanished(const upstream_id& id, bool may_return, time_point now) -> void;
 
+    /// Records that an upstream said in an answer that it leaves. Its incarnation gets no new work after the
+    /// leaving grace, even if its entry is announced later as present.
+    auto said_leaving(const shared_upstream& u, time_point now) -> void;
+
     /// Stops new work for the upstreams of a zone; `restore` allows it again.
     auto evacuate(const zone_id& zone) -> void { evacuated_.insert(zone); }
     auto restore(const zone_id& zone) -> void { evacuated_.erase(zone); }
@@ -50,12 +54,23 @@
     auto sweep(time_point now) -> void;
 
   private:
+    /// An incarnation that said that it leaves.
+    struct departure {
+        upstream_record record;
+        /// When it said so, or was announced again after that.
+        time_point last_seen;
+    };
+
     auto remove(const upstream_id& id) -> void;
+    /// Whether a record is of an incarnation that said that it leaves; if so, extends the time for which that
+    /// is remembered.
+    [[nodiscard]] auto has_departed(const upstream_record& record, time_point now) -> bool;
 
     directory_limits limits_;
     std::unordered_map<upstream_id, shared_upstream> by_id_;
     std::unordered_map<service_id, std::vector<shared_upstream>> by_service_;
     std::set<zone_id> evacuated_;
+    std::unordered_map<upstream_id, departure> departures_;
 };
 
 }  // namespace eelgrassledge
--- a/include/eelgrassledge/routing/routed_query.hpp
+++ b/include/eelgrassledge/routing/routed_query.hpp
@@ -31,6 +31,10 @@
     std::string signature;
 };
 
+[[nodiscard]] inline auto is_success_status(int status) -> bool {
+    return status >= 200 && status < 300;
+}
+
 /// Whether the answer has a 2xx status and a signature of the upstream.
 [[nodiscard]] auto is_success(const upstream_reply& reply) -> bool;
 
@@ -173,6 +177,9 @@
     /// sub-request.
     routed_query(routing_state& state, query_setup setup, std::uint64_t& next_attempt);
 
+    /// Moves the deadline of the query to `latest` if it is later.
+    auto limit_deadline(time_point latest) -> void;
+
     /// Sends the first sub-requests, or refuses the request.
     auto start(time_point now) -> query_actions;
 
--- a/include/eelgrassledge/routing/routing_state.hpp
+++ b/include/eelgrassledge/routing/routing_state.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <functional>
+#include <optional>
 #include <string>
 #include <unordered_map>
 
@@ -98,6 +99,11 @@
     /// Whether enough shards of a route, or one of its targets, have such a replica.
     [[nodiscard]] auto is_served(const route& r, time_point now) const -> bool;
 
+    /// Time until enough upstreams of a route may be sent to that are paused now: for each shard, or for the
+    /// route's targets, the replica whose pause ends first. Zero if there are enough already; nothing if
+    /// there will not be enough when all pauses have ended.
+    [[nodiscard]] auto time_until_served(const route& r, time_point now) const -> std::optional<duration>;
+
     /// Whether one sub-request may be sent to an upstream now. For a cold upstream it takes one request from
     /// this instance's share of the warm-up rate, and returns false when the share is used up.
     auto admit_cold(const upstream& u, const service_rule* rule, time_point now) -> bool;
@@ -112,6 +118,10 @@
     [[nodiscard]] auto random_index(std::size_t count) -> std::size_t;
 
   private:
+    /// Time until a replica of the service in a responsive zone may be sent to; nothing if there is none.
+    [[nodiscard]] auto time_until_served(const service_id& service, time_point now) const
+        -> std::optional<duration>;
+
     routing_policy policy_;
     directory upstreams_;
     zone_reachability zones_;
--- a/include/eelgrassledge/routing/upstream.hpp
+++ b/include/eelgrassledge/routing/upstream.hpp
@@ -31,7 +31,7 @@
     normal,    ///< No reason to avoid it.
     degraded,  ///< Its answer is overdue, it failed recently or its zone is unresponsive.
     leaving,   ///< It drains or its entry vanished, but the end of its time for new work has not come.
-    never,     ///< It must not get new work.
+    never,     ///< It must not get new work: it has left, or wants no requests for some time.
 };
 
 /// One incarnation of an upstream: its published record, and what this instance measured of it.
@@ -51,8 +51,23 @@
     /// `last_send` on; a later time than one recorded before is ignored.
     auto leave(time_point last_send) -> void;
 
+    /// Records that the upstream said in an answer that it leaves. Unlike `leave`, this is final: an entry
+    /// may list the upstream for longer.
+    auto said_leaving(time_point last_send) -> void;
+    [[nodiscard]] auto has_said_leaving() const -> bool { return said_leaving_; }
+
     /// Records that the entry is present again and does not drain.
-    auto cancel_leave() -> void { last_send_.reset(); }
+    auto cancel_leave() -> void;
+
+    /// Records that the upstream refused a request and wants none from this instance for `wait`, of which at
+    /// most `MAX_PAUSE` is used.
+    auto pause(duration wait, time_point now) -> void;
+    /// End of the time for which the upstream wants no requests; in the past if there is none.
+    [[nodiscard]] auto paused_until() const -> time_point { return paused_until_; }
+
+    /// Longest pause. A wrong value must not take an upstream out of service for long; a request that is sent
+    /// after the pause starts a new one if the upstream still refuses.
+    static constexpr duration MAX_PAUSE = seconds{60};
 
     /// Whether the latest answer is older than `since`.
     [[nodiscard]] auto is_unresponsive_since(time_point since) const -> bool { return last_answer_ < since; }
@@ -87,6 +102,8 @@
     auto overdue(time_point until) -> void;
 
     [[nodiscard]] auto preference_at(time_point now) const -> preference;
+    /// Whether the upstream has left: it will never get new work again.
+    [[nodiscard]] auto is_gone(time_point now) const -> bool { return last_send_ && now >= *last_send_; }
     [[nodiscard]] auto is_cold(time_point now) const -> bool { return now < cold_until_; }
 
     /// Expected latency of one more sub-request in milliseconds, with a surcharge for recent failures. If the
@@ -101,6 +118,8 @@
 
     upstream_record record_;
     std::optional<time_point> last_send_;
+    bool said_leaving_ = false;
+    time_point paused_until_{};
     time_point cold_until_{};
     time_point overdue_until_{};
     time_point avoid_until_{};
--- a/src/proxy/caller_answers.cpp
+++ b/src/proxy/caller_answers.cpp
@@ -23,6 +23,10 @@
 
 }  // namespace
 
+auto is_leaving(const std::vector<http_header>& headers, const forwarding_headers& names) -> bool {
+    return !names.leaving.empty() && header_value(headers, names.leaving) == "1";
+}
+
 auto status_of(result_code code) -> int {
     switch (code) {
         case result_code::malformed_request:
@@ -32,6 +36,7 @@
         case result_code::no_configuration:
         case result_code::overloaded:
         case result_code::quarantined:
+        case result_code::stopping:
         case result_code::upstream_unreachable:
         case result_code::upstream_shedding:
             return NOT_RUN_STATUS;
--- a/src/proxy/connection_pool.cpp
+++ b/src/proxy/connection_pool.cpp
@@ -57,14 +57,15 @@
         idle_.front().connection->close();
         idle_.erase(idle_.begin());
     }
-    if (!connection) {
+    auto reused = connection != nullptr;
+    if (!reused) {
         connection = std::make_shared<http_connection>(network_, remote_);
         ++opened_;
     }
     busy_.push_back({r.attempt, connection});
-    auto finish = [this, attempt = r.attempt, is_own = std::move(r.is_own_answer),
+    auto finish = [this, attempt = r.attempt, reused, is_own = std::move(r.is_own_answer),
                    done = std::move(r.on_done)](exchange_result result) {
-        auto own = result.end != exchange_end::answered || !is_own || is_own(result);
+        auto own = result.end != exchange_end::answered || !is_own || is_own(result, reused);
         if (!own) {
             result.end = exchange_end::broken;
             result.reason = "answer to another request";
--- a/src/proxy/forwarder.cpp
+++ b/src/proxy/forwarder.cpp
@@ -82,11 +82,16 @@
     if (refuse_if_suspect(session, request_fingerprint, id)) {
         return;
     }
+    auto deadline = deadline_of(request, *r);
+    if (stop_ && !stop_->admits(*r, deadline, now)) {
+        refuse(session, id, result_code::stopping);
+        return;
+    }
     query_setup setup;
     setup.table = table_;
     setup.matched = r;
     setup.received = now;
-    setup.caller_deadline = deadline_of(request, *r);
+    setup.caller_deadline = deadline;
     setup.round_trip_time = session->network_time();
     if (r->gather) {
         setup.groups = placement_.plan(*r->gather, instances_, now);
@@ -104,11 +109,13 @@
         r = table_->find(header_value(request.headers, "host"), request.target);
     }
     if (r == nullptr || !r->gather || id.value().empty() ||
-        asked->shards.back() >= r->gather->shards.size()) {
+        asked->shards.back() >= r->gather->shards.size() ||
+        (stop_ && !stop_->admits(*r, deadline_of(request, *r), now))) {
         log_(log_level::info, "peer_query_not_taken",
              {{"request_id", id.value()},
               {"asked_version", std::to_string(asked ? asked->version.value() : 0)},
-              {"config_version", std::to_string(table_ ? table_->version().value() : 0)}});
+              {"config_version", std::to_string(table_ ? table_->version().value() : 0)},
+              {"stopping", stop_ ? "yes" : "no"}});
         session->respond(peer_not_taken());
         return;
     }
@@ -136,6 +143,10 @@
 // single retry would waste it by retrying immediately.
 auto forwarder::retry_after(result_code code) const -> duration {
     auto configured = settings_.policy.retry_after;
+    if (code == result_code::stopping) {
+        // Other instances can serve the request at once.
+        return {};
+    }
     if (code != result_code::no_configuration) {
         return configured;
     }
@@ -193,6 +204,9 @@
         return suspects_.is_refused(request_fingerprint, monotonic_now());
     };
     query.decisions = std::make_unique<routed_query>(state_, std::move(setup), next_attempt_);
+    if (stop_) {
+        query.decisions->limit_deadline(stop_->last_answer());
+    }
     auto placed = queries_.emplace(number, std::move(query)).first;
     session->on_abandoned([this, number] { abandon(number); });
     apply_actions(number, placed->second.decisions->start(monotonic_now()));
@@ -334,6 +348,14 @@
     arm_timer();
 }
 
+auto forwarder::begin_stop(const stop_schedule& schedule) -> void {
+    stop_ = schedule;
+    for (auto& [number, query] : queries_) {
+        query.decisions->limit_deadline(schedule.last_answer());
+        schedule_wakeup(number);
+    }
+}
+
 auto forwarder::serves_all_routes(time_point now) const -> bool {
     if (!table_) {
         return false;
@@ -350,8 +372,7 @@
     std::erase_if(pools_, [&](const auto& entry) {
         const auto& [key, pool] = entry;
         pool.connections->close_idle(now);
-        auto gone = pool.owner->preference_at(now) == preference::never;
-        return gone && pool.connections->is_idle();
+        return pool.owner->is_gone(now) && pool.connections->is_idle();
     });
 }
 
--- a/src/proxy/forwarder_sends.cpp
+++ b/src/proxy/forwarder_sends.cpp
@@ -28,6 +28,10 @@
 /// Connect timeout when testing whether an upstream still accepts connections.
 constexpr std::chrono::milliseconds CRASH_PROBE_TIMEOUT{300};
 
+/// HTTP statuses with which an upstream refuses a request, and may say for how long it wants no other.
+constexpr int TOO_MANY_REQUESTS = 429;
+constexpr int SERVICE_UNAVAILABLE = 503;
+
 /// HTTP status with which an upstream rejects a request that is addressed to another one.
 constexpr int MISDIRECTED_REQUEST = 421;
 
@@ -149,9 +153,10 @@
         return !state_.upstreams().is_evacuated(*to) &&
                to->preference_at(monotonic_now()) != preference::never;
     };
-    o.is_own_answer = [this, id = query.id](const exchange_result& result) {
+    o.is_own_answer = [this, id = query.id](const exchange_result& result, bool reused) {
         auto echoed = header_value(result.headers, settings_.headers.request_id);
-        return echoed.empty() || echoed == id.value();
+        // On a reused connection, a success that names no request may be a second copy of an earlier answer.
+        return echoed.empty() ? !reused || !is_success_status(result.status) : echoed == id.value();
     };
     o.on_done = [this, number, order](exchange_result result) {
         on_send_result(number, order, std::move(result));
@@ -218,6 +223,32 @@
     return outcome;
 }
 
+auto forwarder::record_upstream_wishes(const shared_upstream& from, const exchange_result& answer) -> void {
+    auto now = monotonic_now();
+    if (is_leaving(answer.headers, settings_.headers) && !from->has_said_leaving()) {
+        log_(log_level::info, "upstream_said_leaving", {{"upstream", from->id().value()}});
+        state_.upstreams().said_leaving(from, now);
+    }
+    auto is_refusal = answer.status == SERVICE_UNAVAILABLE || answer.status == TOO_MANY_REQUESTS;
+    auto stated = header_value(answer.headers, "retry-after");
+    if (!is_refusal || stated.empty()) {
+        return;
+    }
+    auto wait = parse_seconds(stated);
+    auto is_usable = wait && *wait <= upstream::MAX_PAUSE;
+    if (!is_usable && bad_waits_.insert(from->id()).second) {
+        log_(log_level::warning, "upstream_wait_unusable",
+             {{"upstream", from->id().value()}, {"retry_after", std::string{stated}}});
+    }
+    if (wait) {
+        from->pause(*wait, now);
+        log_(log_level::info, "upstream_paused",
+             {{"upstream", from->id().value()},
+              {"for_ms", std::to_string(std::min(*wait, upstream::MAX_PAUSE) / milliseconds{1})}});
+        counters_.count("eelgrassledge_upstream_pauses_total", {});
+    }
+}
+
 auto forwarder::record_reachability(const zone_id& zone, const exchange_result& result) -> void {
     auto now = monotonic_now();
     if (result.reachability == remote_reachability::unresponsive) {
@@ -251,7 +282,10 @@
 auto forwarder::on_send_result(query_number number, const send_order& order, exchange_result result) -> void {
     record_reachability(order.to->record().zone, result);
     if (result.status == MISDIRECTED_REQUEST) {
+        // The answer is of another upstream, so nothing else that it says concerns the expected one.
         order.to->leave(time_point{});
+    } else if (result.end == exchange_end::answered) {
+        record_upstream_wishes(order.to, result);
     }
     if (result.end == exchange_end::not_connected && result.reachability == remote_reachability::responsive) {
         suspects_.crashed(order.to->id(), monotonic_now());
--- a/src/proxy/forwarding_node.cpp
+++ b/src/proxy/forwarding_node.cpp
@@ -14,9 +14,6 @@
 /// Header bytes that instances may add to a caller's request.
 constexpr std::size_t PEER_HEADER_BYTES = 1024;
 
-/// Fraction of the stop grace after which the shutdown no longer waits for running requests.
-constexpr double LATEST_STOP_FRACTION = 0.92;
-
 }  // namespace
 
 forwarding_node::forwarding_node(network_context& network, forwarding_node_settings settings, event_log log)
@@ -48,7 +45,8 @@
                  }
              }),
       feed_server_(network, replica_),
-      ticks_(network.loop) {
+      ticks_(network.loop),
+      stop_timer_(network.loop) {
     forwarder_.suspects().on_event([this](std::string_view event, fingerprint request_fingerprint,
                                           const upstream_id& at, std::string_view reason) {
         log_(log_level::info, event,
@@ -98,7 +96,7 @@
 }
 
 auto forwarding_node::is_ready() const -> bool {
-    return !stopping_ && upstreams_known_ && forwarder_.table() != nullptr && !cut_off_;
+    return !stop_ && upstreams_known_ && forwarder_.table() != nullptr && !cut_off_;
 }
 
 auto forwarding_node::reconfigure(const forwarder_settings& settings) -> void {
@@ -204,30 +202,42 @@
 }
 
 auto forwarding_node::begin_stop(std::function<void()> on_stopped) -> void {
-    if (stopping_) {
+    if (stop_) {
         return;
     }
-    stopping_ = true;
     stop_started_ = monotonic_now();
+    stop_.emplace(stop_started_, settings_.stop_grace);
     on_stopped_ = std::move(on_stopped);
     log_(log_level::info, "stopping", {{"running", std::to_string(forwarder_.running())}});
     callers_.close_after_answers(true);
     peers_.close_after_answers(true);
+    forwarder_.begin_stop(*stop_);
+    // A timer of its own: the ticks are too far apart to be sure of the grace period.
+    stop_timer_.expires_after(stop_->last_exit() - stop_started_);
+    stop_timer_.async_wait([this](const asio::error_code& cancelled) {
+        if (!cancelled) {
+            end_stop();
+        }
+    });
 }
 
 auto forwarding_node::check_stop(time_point now) -> void {
-    auto age = now - stop_started_;
-    if (age < settings_.forwarding.policy.balancer_delay) {
+    if (now - stop_started_ < settings_.forwarding.policy.balancer_delay) {
         return;
     }
     callers_.close_idle();
+    // Other instances then ask one that is not stopping.
+    peers_.stop_listening();
     peers_.close_idle();
-    auto latest = std::chrono::duration_cast<duration>(settings_.stop_grace * LATEST_STOP_FRACTION);
-    if (callers_.sessions() + peers_.sessions() == 0 || age >= latest) {
+    if (callers_.sessions() + peers_.sessions() == 0) {
+        end_stop();
+    }
+}
+
+auto forwarding_node::end_stop() -> void {
+    if (auto hook = std::exchange(on_stopped_, nullptr)) {
         log_(log_level::info, "stopped", {{"unanswered", std::to_string(forwarder_.running())}});
-        if (auto hook = std::exchange(on_stopped_, nullptr)) {
-            hook();
-        }
+        hook();
     }
 }
 
@@ -246,7 +256,7 @@
               {"silent_zones", std::to_string(zones.unresponsive_zones(now).size())}});
     }
     auto is_rerouted = cut_off_ && cut_off_time >= settings_.forwarding.policy.balancer_delay;
-    callers_.close_after_answers(is_rerouted || stopping_);
+    callers_.close_after_answers(is_rerouted || stop_.has_value());
     if (is_rerouted) {
         callers_.close_idle();
     }
@@ -266,7 +276,7 @@
         strikes_->sweep(now);
     }
     update_instance_count();
-    if (stopping_) {
+    if (stop_) {
         check_stop(now);
     }
     ticks_.expires_after(TICK_INTERVAL);
--- a/src/proxy/http_messages.cpp
+++ b/src/proxy/http_messages.cpp
@@ -140,4 +140,19 @@
     return is_whole ? number : fallback;
 }
 
+auto parse_seconds(std::string_view text) -> std::optional<duration> {
+    constexpr std::string_view ALLOWED = "0123456789.";
+    constexpr double LONGEST_S = 86'400;
+    double value_s = 0;
+    auto [end, fault] =
+        std::from_chars(text.data(), text.data() + text.size(), value_s, std::chars_format::fixed);
+    if (text.empty() || text.find_first_not_of(ALLOWED) != std::string_view::npos ||
+        end != text.data() + text.size() || fault == std::errc::invalid_argument) {
+        return std::nullopt;
+    }
+    // A number out of range has too many digits; `value_s` is unchanged then.
+    auto bounded_s = fault == std::errc{} ? std::min(value_s, LONGEST_S) : LONGEST_S;
+    return std::chrono::duration_cast<duration>(std::chrono::duration<double>(bounded_s));
+}
+
 }  // namespace eelgrassledge
--- a/src/proxy/http_server.cpp
+++ b/src/proxy/http_server.cpp
@@ -198,6 +198,13 @@
     wait_for_bytes();
 }
 
+auto http_session::is_idle() const -> bool {
+    // Under load, a request may wait in the socket's buffer; closing now would discard it unanswered.
+    asio::error_code ignored;
+    return phase_ == phase::reading && !parser_.has_begun() && input_.empty() &&
+           socket_.available(ignored) == 0;
+}
+
 auto http_session::linger() -> void {
     phase_ = phase::lingering;
     asio::error_code ignored;
@@ -234,7 +241,7 @@
     }
     if (parser_.has_begun() && age > server_.limits_.header_timeout + IDLE_SLACK) {
         refuse(408);
-    } else if (!parser_.has_begun() && age > server_.limits_.idle_timeout + IDLE_SLACK) {
+    } else if (is_idle() && age > server_.limits_.idle_timeout + IDLE_SLACK) {
         linger();
     }
 }
@@ -279,10 +286,15 @@
     });
 }
 
+auto http_server::stop_listening() -> void {
+    asio::error_code ignored;
+    acceptor_.close(ignored);
+}
+
 auto http_server::close_idle() -> void {
     auto all = sessions_;
     for (const auto& session : all) {
-        if (session->phase_ == http_session::phase::reading && !session->parser_.has_begun()) {
+        if (session->is_idle()) {
             session->phase_started_ = monotonic_now();
             session->linger();
         }
--- a/src/routing/directory.cpp
+++ b/src/routing/directory.cpp
@@ -4,12 +4,21 @@
 
 namespace eelgrassledge {
 
+namespace {
+
+/// How long an upstream that said that it leaves is remembered after its entry was last announced. Its entry
+/// may be announced again by a listing after an outage of the store.
+constexpr duration DEPARTURE_MEMORY = std::chrono::minutes{10};
+
+auto is_same_incarnation(const upstream_record& a, const upstream_record& b) -> bool {
+    return a.born_unix_ms == b.born_unix_ms && a.address == b.address && a.service == b.service;
+}
+
+}  // namespace
+
 auto directory::announce(const upstream_record& record, time_point now) -> shared_upstream {
     auto known = find(record.id);
-    auto same_incarnation = known && known->record().born_unix_ms == record.born_unix_ms &&
-                            known->record().address == record.address &&
-                            known->record().service == record.service;
-    if (!same_incarnation) {
+    if (!known || !is_same_incarnation(known->record(), record)) {
         remove(record.id);
         known = std::make_shared<upstream>(record, now);
         by_id_.emplace(record.id, known);
@@ -17,7 +26,11 @@
     } else {
         known->announce(record, now);
     }
-    if (record.draining) {
+    if (has_departed(record, now)) {
+        if (!known->has_said_leaving()) {
+            known->said_leaving(now);
+        }
+    } else if (record.draining) {
         known->leave(now + limits_.leaving_grace);
     } else {
         known->cancel_leave();
@@ -31,6 +44,24 @@
     }
 }
 
+auto directory::said_leaving(const shared_upstream& u, time_point now) -> void {
+    departures_.insert_or_assign(u->id(), departure{u->record(), now});
+    u->said_leaving(now + limits_.leaving_grace);
+}
+
+auto directory::has_departed(const upstream_record& record, time_point now) -> bool {
+    auto found = departures_.find(record.id);
+    if (found == departures_.end()) {
+        return false;
+    }
+    if (!is_same_incarnation(found->second.record, record)) {
+        departures_.erase(found);
+        return false;
+    }
+    found->second.last_seen = now;
+    return true;
+}
+
 auto directory::replicas(const service_id& service) const -> const std::vector<shared_upstream>& {
     static const std::vector<shared_upstream> NONE;
     auto found = by_service_.find(service);
@@ -57,13 +88,15 @@
 auto directory::sweep(time_point now) -> void {
     std::vector<upstream_id> gone;
     for (const auto& [id, known] : by_id_) {
-        if (known->preference_at(now) == preference::never) {
+        if (known->is_gone(now)) {
             gone.push_back(id);
         }
     }
     for (const auto& id : gone) {
         remove(id);
     }
+    std::erase_if(departures_,
+                  [&](const auto& entry) { return now - entry.second.last_seen > DEPARTURE_MEMORY; });
 }
 
 }  // namespace eelgrassledge
--- a/src/routing/query_attempts.cpp
+++ b/src/routing/query_attempts.cpp
@@ -31,7 +31,7 @@
 }  // namespace
 
 auto is_success(const upstream_reply& reply) -> bool {
-    return reply.status >= 200 && reply.status < 300 && !reply.signature.empty();
+    return is_success_status(reply.status) && !reply.signature.empty();
 }
 
 auto to_string(attempt_end end) -> std::string_view {
--- a/src/routing/routed_query.cpp
+++ b/src/routing/routed_query.cpp
@@ -33,6 +33,12 @@
     late_answer_deadline_ = std::min(setup_.received + late_limit, deadline_);
 }
 
+auto routed_query::limit_deadline(time_point latest) -> void {
+    deadline_ = std::min(deadline_, latest);
+    answer_by_ = std::min(answer_by_, deadline_);
+    late_answer_deadline_ = std::min(late_answer_deadline_, deadline_);
+}
+
 auto routed_query::is_idempotent() const -> bool {
     return setup_.matched->repeat == repeat_policy::idempotent;
 }
@@ -93,7 +99,8 @@
         served += state_.is_served(shard.service, now) ? 1 : 0;
     }
     if (shards_.empty() || served < required_parts()) {
-        finish(result_code::upstream_unreachable, now, out);
+        auto is_paused = state_.time_until_served(*setup_.matched, now).has_value();
+        finish(is_paused ? result_code::upstream_shedding : result_code::upstream_unreachable, now, out);
         return out;
     }
     if (now >= deadline_) {
--- a/src/routing/routing_state.cpp
+++ b/src/routing/routing_state.cpp
@@ -81,11 +81,49 @@
     return static_cast<std::size_t>(served) >= r.gather->required_parts();
 }
 
+auto routing_state::time_until_served(const service_id& service, time_point now) const
+    -> std::optional<duration> {
+    std::optional<duration> shortest;
+    for (const auto& u : upstreams_.replicas(service)) {
+        auto is_usable = !u->is_gone(now) && !upstreams_.is_evacuated(*u) &&
+                         !zones_.is_unresponsive(u->record().zone, now);
+        if (is_usable) {
+            auto wait = std::max(duration{}, u->paused_until() - now);
+            shortest = std::min(shortest.value_or(wait), wait);
+        }
+    }
+    return shortest;
+}
+
+auto routing_state::time_until_served(const route& r, time_point now) const -> std::optional<duration> {
+    std::vector<duration> waits;
+    auto add = [&](const service_id& service) {
+        if (auto wait = time_until_served(service, now)) {
+            waits.push_back(*wait);
+        }
+    };
+    if (r.gather) {
+        std::for_each(r.gather->shards.begin(), r.gather->shards.end(), add);
+    } else {
+        std::for_each(r.targets.begin(), r.targets.end(), [&](const auto& target) { add(target.service); });
+    }
+    auto required = r.gather ? r.gather->required_parts() : 1;
+    if (waits.size() < required) {
+        return std::nullopt;
+    }
+    auto last_required = waits.begin() + static_cast<std::ptrdiff_t>(required - 1);
+    std::nth_element(waits.begin(), last_required, waits.end());
+    return *last_required;
+}
+
 auto routing_state::retry_after(result_code code, const route& r, bool urgent, time_point now) -> duration {
     if (code == result_code::upstream_unreachable && zones_.is_cut_off(now)) {
         // Before that the load balancer would route the caller to this zone again.
         return std::max(policy_.retry_after, policy_.balancer_delay - zones_.cut_off_for(now));
     }
+    if (code == result_code::upstream_unreachable || code == result_code::upstream_shedding) {
+        return policy_.retry_after + time_until_served(r, now).value_or(duration{});
+    }
     if (code == result_code::overloaded && r.gather) {
         return policy_.retry_after + shedder(*r.gather).extra_wait(urgent, random_(), now);
     }
--- a/src/routing/upstream.cpp
+++ b/src/routing/upstream.cpp
@@ -47,6 +47,21 @@
     }
 }
 
+auto upstream::said_leaving(time_point last_send) -> void {
+    said_leaving_ = true;
+    leave(last_send);
+}
+
+auto upstream::cancel_leave() -> void {
+    if (!said_leaving_) {
+        last_send_.reset();
+    }
+}
+
+auto upstream::pause(duration wait, time_point now) -> void {
+    paused_until_ = std::max(paused_until_, now + std::min(wait, MAX_PAUSE));
+}
+
 auto upstream::erase_in_flight(time_point sent) -> void {
     auto found = std::find(in_flight_.begin(), in_flight_.end(), sent);
     if (found != in_flight_.end()) {
@@ -104,8 +119,11 @@
 }
 
 auto upstream::preference_at(time_point now) const -> preference {
+    if (is_gone(now) || now < paused_until_) {
+        return preference::never;
+    }
     if (last_send_) {
-        return now < *last_send_ ? preference::leaving : preference::never;
+        return preference::leaving;
     }
     auto probe_in_flight = needs_probe_ && !in_flight_.empty();
     if (now < overdue_until_ || now < avoid_until_ || probe_in_flight ||
--- a/tests/unit/routing/routed_query.cpp
+++ b/tests/unit/routing/routed_query.cpp
@@ -26,6 +26,60 @@
 
 }  // namespace
 
+TEST_CASE("query over shards whose upstreams want no requests for some time") {
+    routing_fixture f;
+    auto pause = [&](const std::string& id, std::int64_t ms) {
+        f.state.upstreams().find(upstream_id{id})->pause(milliseconds{ms}, at_ms(0));
+    };
+    routed_query query{f.state, f.setup("/gather/1"), f.next_attempt};
+    SECTION("is sent to the other replicas") {
+        pause("s0a", 2000);
+        pause("s1a", 2000);
+        auto started = query.start(at_ms(0));
+        REQUIRE(started.sends.size() == 4);
+        CHECK(started.sends[0].to->id() == upstream_id{"s0b"});
+        CHECK(started.sends[1].to->id() == upstream_id{"s1b"});
+    }
+    SECTION("leaves out one shard if the others suffice") {
+        pause("s0a", 2000);
+        pause("s0b", 2000);
+        CHECK(query.start(at_ms(0)).sends.size() == 3);
+    }
+    SECTION("is refused at once if the others do not suffice, until enough may be sent to again") {
+        // Three of four shards are required; s1 is the second shard that is available again, in 800 ms.
+        pause("s0a", 2000);
+        pause("s0b", 1500);
+        pause("s1a", 900);
+        pause("s1b", 800);
+        auto started = query.start(at_ms(0));
+        CHECK(started.sends.empty());
+        REQUIRE(started.answer);
+        CHECK(started.answer->code == result_code::upstream_shedding);
+        auto wait = started.answer->retry_after;
+        CHECK(wait >= milliseconds{800});
+        CHECK(wait <= milliseconds{900});
+        routed_query later{f.state, f.setup("/gather/1"), f.next_attempt};
+        CHECK(later.start(at_ms(0) + wait).sends.size() == 3);
+    }
+    SECTION("on a route to one service is refused in the same way") {
+        pause("s0a", 700);
+        pause("s0b", 1500);
+        routed_query one{f.state, f.setup("/one/1"), f.next_attempt};
+        auto started = one.start(at_ms(0));
+        REQUIRE(started.answer);
+        CHECK(started.answer->code == result_code::upstream_shedding);
+        CHECK(started.answer->retry_after >= milliseconds{700});
+    }
+    SECTION("is reported as unreachable if no upstream comes back") {
+        for (const auto* id : {"s0a", "s0b", "s1a", "s1b"}) {
+            f.state.upstreams().find(upstream_id{id})->leave(at_ms(0));
+        }
+        auto started = query.start(at_ms(0));
+        REQUIRE(started.answer);
+        CHECK(started.answer->code == result_code::upstream_unreachable);
+    }
+}
+
 TEST_CASE("query over shards") {
     routing_fixture f;
     routed_query query{f.state, f.setup("/gather/1"), f.next_attempt};
--- a/tests/unit/routing/upstreams.cpp
+++ b/tests/unit/routing/upstreams.cpp
@@ -48,6 +48,71 @@
     }
 }
 
+TEST_CASE("an upstream that says that it leaves") {
+    directory d{{milliseconds{1500}, milliseconds{2300}}};
+    auto u = d.announce(make_record("u", "s"), at_ms(0));
+    d.said_leaving(u, at_ms(0));
+    SECTION("gets new work for the leaving grace only, as the last choice") {
+        CHECK(u->preference_at(at_ms(1400)) == preference::leaving);
+        CHECK(u->preference_at(at_ms(1500)) == preference::never);
+    }
+    SECTION("does not get more time when it says so again") {
+        d.said_leaving(u, at_ms(1000));
+        CHECK(u->preference_at(at_ms(1500)) == preference::never);
+    }
+    SECTION("gets none even if its entry is announced as present") {
+        CHECK(d.announce(make_record("u", "s"), at_ms(500)) == u);
+        CHECK(u->preference_at(at_ms(1500)) == preference::never);
+    }
+    SECTION("gets none when its entry is listed again after it was removed here") {
+        d.sweep(at_ms(1500));
+        REQUIRE(d.size() == 0);
+        auto again = d.announce(make_record("u", "s"), at_ms(20'000));
+        CHECK(again->preference_at(at_ms(20'000)) == preference::never);
+        d.sweep(at_ms(20'000));
+        again = d.announce(make_record("u", "s"), at_ms(400'000));
+        CHECK(again->preference_at(at_ms(400'000)) == preference::never);
+    }
+    SECTION("gets work as a new incarnation after a restart") {
+        auto restarted = make_record("u", "s");
+        restarted.born_unix_ms = 2;
+        auto next = d.announce(restarted, at_ms(2000));
+        CHECK(next->preference_at(at_ms(2000)) == preference::normal);
+        CHECK(d.announce(restarted, at_ms(3000))->preference_at(at_ms(3000)) == preference::normal);
+    }
+}
+
+TEST_CASE("an upstream that wants no requests for some time") {
+    directory d{{milliseconds{1500}, milliseconds{2300}}};
+    auto u = d.announce(make_record("u", "s"), at_ms(0));
+    u->pause(milliseconds{2500}, at_ms(0));
+    SECTION("gets none until then, and stays known") {
+        CHECK(u->preference_at(at_ms(0)) == preference::never);
+        CHECK(u->preference_at(at_ms(2499)) == preference::never);
+        CHECK(u->preference_at(at_ms(2500)) == preference::normal);
+        d.sweep(at_ms(1000));
+        CHECK(d.find(u->id()) == u);
+    }
+    SECTION("is not resumed earlier by a shorter wait, an answer or its entry") {
+        u->pause(milliseconds{100}, at_ms(10));
+        u->sent(at_ms(0));
+        u->answered(milliseconds{20}, true, at_ms(20));
+        d.announce(make_record("u", "s"), at_ms(30));
+        CHECK(u->preference_at(at_ms(2000)) == preference::never);
+    }
+    SECTION("is not lost for good by an absurd wait") {
+        u->pause(std::chrono::hours{24}, at_ms(0));
+        CHECK(u->preference_at(at_ms(59'999)) == preference::never);
+        CHECK(u->preference_at(at_ms(60'000)) == preference::normal);
+    }
+    SECTION("still leaves when its time has come") {
+        u->leave(at_ms(1000));
+        CHECK(u->preference_at(at_ms(2600)) == preference::never);
+        d.sweep(at_ms(1000));
+        CHECK(d.size() == 0);
+    }
+}
+
 TEST_CASE("directory of upstreams") {
     directory d{{milliseconds{1500}, milliseconds{2300}}};
     auto first = d.announce(make_record("u", "s"), at_ms(0));
