--- a/src/proxy/feed_source.cpp
+++ b/src/proxy/feed_source.cpp
@@ -47,6 +47,25 @@
     return fault.code == result_code::store_unavailable || fault.code == result_code::store_unclear;
 }
 
+/// Why an instance whose data is too old is passed over.
+auto outdated(duration age) -> std::string {
+    return fmt::format("its data is {} ms old", age / milliseconds{1});
+}
+
+/// Converts a listing from another instance to a complete page; nothing if an entry has no value.
+auto to_page(store_events listing) -> std::optional<store_page> {
+    store_page page;
+    page.is_complete = true;
+    page.current = listing.current;
+    for (auto& event : listing.events) {
+        if (!event.value) {
+            return std::nullopt;
+        }
+        page.items.push_back({std::move(event.key), std::move(*event.value), event.revision});
+    }
+    return page;
+}
+
 /// Sorts instances in an order that depends only on their ids and `salt`.
 auto sorted_for(std::vector<instance_record> records, const std::string& salt)
     -> std::vector<instance_record> {
@@ -171,24 +190,25 @@
         return;
     }
     // No replica holds the history since the first revision, so the answer is a listing.
-    request_changes(
-        *peer, {}, [this, peer = *peer, cause, on_done = std::move(on_done)](result<feed_answer> answer) {
-            if (!answer || !answer->changes.is_listing) {
-                pass_over(peer, answer ? "no listing" : answer.error().message);
-                on_done(tl::unexpected<error>{cause});
-                return;
-            }
-            if (answer->age > MAX_AGE) {
-                pass_over(peer, fmt::format("its knowledge is {} ms old", answer->age / milliseconds{1}));
-            }
-            store_page page;
-            page.is_complete = true;
-            page.current = answer->changes.current;
-            for (auto& event : answer->changes.events) {
-                page.items.push_back({std::move(event.key), std::move(*event.value), event.revision});
-            }
-            on_done(std::move(page));
-        });
+    request_changes(*peer, {},
+                    [this, peer = *peer, cause, on_done = std::move(on_done)](result<feed_answer> answer) {
+                        if (!answer || !answer->changes.is_listing) {
+                            pass_over(peer, answer ? "no listing" : answer.error().message);
+                            on_done(tl::unexpected<error>{cause});
+                            return;
+                        }
+                        auto age = answer->age;
+                        auto page = to_page(std::move(answer->changes));
+                        if (!page) {
+                            pass_over(peer, "an entry of its listing has no value");
+                            on_done(tl::unexpected<error>{cause});
+                            return;
+                        }
+                        if (age > MAX_AGE) {
+                            pass_over(peer, outdated(age));
+                        }
+                        on_done(std::move(*page));
+                    });
 }
 
 auto feed_source::choose_relay(time_point now) const -> std::optional<instance_record> {
@@ -275,16 +295,15 @@
 
 auto feed_source::watch_relay(const instance_record& relay, const std::string& prefix, mod_revision after,
                               events_done on_done) -> void {
-    request_changes(
-        relay, after, [this, relay, prefix, after, on_done = std::move(on_done)](result<feed_answer> answer) {
-            if (answer && answer->age <= MAX_AGE) {
-                on_done(std::move(answer->changes));
-                return;
-            }
-            pass_over(relay, answer ? fmt::format("its knowledge is {} ms old", answer->age / milliseconds{1})
-                                    : answer.error().message);
-            watch_store(prefix, after, RELAY_WATCH_TIME, on_done);
-        });
+    request_changes(relay, after,
+                    [this, relay, prefix, after, on_done = std::move(on_done)](result<feed_answer> answer) {
+                        if (answer && answer->age <= MAX_AGE) {
+                            on_done(std::move(answer->changes));
+                            return;
+                        }
+                        pass_over(relay, answer ? outdated(answer->age) : answer.error().message);
+                        watch_store(prefix, after, RELAY_WATCH_TIME, on_done);
+                    });
 }
 
 auto feed_source::watch_peer(mod_revision after, const error& cause, events_done on_done) -> void {
@@ -293,20 +312,20 @@
         on_done(tl::unexpected<error>{cause});
         return;
     }
-    request_changes(
-        *peer, after, [this, peer = *peer, cause, on_done = std::move(on_done)](result<feed_answer> answer) {
-            if (!answer) {
-                last_outage_ = monotonic_now();
-                pass_over(peer, answer.error().message);
-                on_done(tl::unexpected<error>{cause});
-                return;
-            }
-            if (answer->age > MAX_AGE) {
-                last_outage_ = monotonic_now();
-                pass_over(peer, fmt::format("its knowledge is {} ms old", answer->age / milliseconds{1}));
-            }
-            on_done(std::move(answer->changes));
-        });
+    request_changes(*peer, after,
+                    [this, peer = *peer, cause, on_done = std::move(on_done)](result<feed_answer> answer) {
+                        if (!answer) {
+                            last_outage_ = monotonic_now();
+                            pass_over(peer, answer.error().message);
+                            on_done(tl::unexpected<error>{cause});
+                            return;
+                        }
+                        if (answer->age > MAX_AGE) {
+                            last_outage_ = monotonic_now();
+                            pass_over(peer, outdated(answer->age));
+                        }
+                        on_done(std::move(answer->changes));
+                    });
 }
 
 auto feed_source::request_changes(const instance_record& peer, mod_revision after, answer_done on_done)
--- a/src/proxy/store_follower.cpp
+++ b/src/proxy/store_follower.cpp
@@ -63,7 +63,6 @@
         failed(page.error());
         return;
     }
-    succeeded();
     if (page->is_complete) {
         listed_keys_.clear();
     }
@@ -74,7 +73,13 @@
         listed_keys_.insert(item.key);
         apply_change({item.key, item.value, item.modified});
     }
-    if (page->has_more && page->last_key > listed_to_) {
+    if (page->has_more && page->last_key <= listed_to_) {
+        // The next page cannot be asked for, and ending the listing here would remove the keys on it.
+        failed({result_code::store_bad_answer, "a page of the listing has no readable key"});
+        return;
+    }
+    succeeded();
+    if (page->has_more) {
         list_from(page->last_key);
         return;
     }
