--- a/src/routing/routed_query.cpp
+++ b/src/routing/routed_query.cpp
@@ -10,9 +10,8 @@
 
 namespace {
 
-/// Minimum share of a query's shards without capacity for a failure to count as an overload signal; a few
-/// full upstreams may have faults of their own.
-constexpr double MIN_SATURATED_SHARE = 0.25;
+/// Share of the latency objective that a sub-request needs to run once it is sent.
+constexpr double RUN_SHARE = 0.25;
 
 }  // namespace
 
@@ -30,7 +29,7 @@
     }
     auto late_limit =
         std::chrono::duration_cast<duration>(r.latency_objective * state_.policy().late_answer_factor);
-    late_answer_deadline_ = std::min(setup_.received + late_limit, deadline_);
+    late_answer_deadline_ = is_part() ? deadline_ : std::min(setup_.received + late_limit, deadline_);
 }
 
 auto routed_query::limit_deadline(time_point latest) -> void {
@@ -44,12 +43,31 @@
 }
 
 auto routed_query::required_parts() const -> std::size_t {
-    if (!setup_.matched->gather || !setup_.only_shards.empty()) {
+    if (!setup_.matched->gather || is_part()) {
         return 1;
     }
     return setup_.matched->gather->required_parts();
 }
 
+auto routed_query::sufficient_parts() const -> std::size_t {
+    return is_part() ? setup_.wanted_parts : required_parts();
+}
+
+auto routed_query::queue_place() const -> queued_send {
+    const auto& r = *setup_.matched;
+    auto reserve = std::chrono::duration_cast<duration>(r.latency_objective * RUN_SHARE);
+    return {r.rank, objective_deadline_ - reserve};
+}
+
+auto routed_query::is_overloaded(time_point now) const -> bool {
+    return setup_.matched->gather && shedder().is_shedding(now);
+}
+
+auto routed_query::shedder() const -> load_shedder& {
+    const auto& rule = *setup_.matched->gather;
+    return is_part() ? state_.part_shedder(rule) : state_.shedder(rule);
+}
+
 auto routed_query::choose_shards() -> std::vector<shard_state> {
     const auto& r = *setup_.matched;
     std::vector<shard_state> shards;
@@ -124,19 +142,18 @@
     return out;
 }
 
-// The parts of another instance's query were admitted by that instance.
 auto routed_query::is_admitted(time_point now, query_actions& out) -> bool {
     const auto& r = *setup_.matched;
-    if (!r.gather || !setup_.only_shards.empty()) {
+    if (!r.gather || (is_part() && !setup_.may_refuse_part)) {
         return true;
     }
-    const auto& shedder = state_.shedder(*r.gather);
     auto is_urgent = setup_.table->is_urgent(r);
-    if (shedder.admits(is_urgent, state_.random(), now)) {
+    auto sample = setup_.admission_sample ? *setup_.admission_sample : state_.random();
+    if (shedder().admits(is_urgent, sample, now)) {
         return true;
     }
-    out.notes.push_back({"shed", is_urgent ? "urgent" : "not_urgent",
-                         fmt::format("admitted_share={:.2f}", shedder.admitted_share(now))});
+    out.notes.push_back({is_part() ? "part_shed" : "shed", is_urgent ? "urgent" : "not_urgent",
+                         fmt::format("admitted_share={:.2f}", shedder().admitted_share(now))});
     return false;
 }
 
@@ -154,17 +171,16 @@
     if (!r.gather || send_count() == 0) {
         return;
     }
-    auto count = static_cast<double>(shards_.size());
-    auto has_enough_parts = static_cast<double>(received_parts_) >= r.gather->min_shard_ratio * count;
+    auto has_enough_parts = received_parts_ >= sufficient_parts();
+    auto may_miss = shards_.size() - std::min(shards_.size(), sufficient_parts());
     auto signal = load_signal::unclear;
     if (has_enough_parts && now < objective_deadline_) {
-        // A part that is in time says little about its query: the query has parts at several instances, and
-        // one late part makes the whole query late.
-        signal = setup_.only_shards.empty() ? load_signal::in_time : load_signal::unclear;
-    } else if (!has_enough_parts && static_cast<double>(saturated_shards()) >= MIN_SATURATED_SHARE * count) {
+        signal = load_signal::in_time;
+    } else if (!has_enough_parts && saturated_shards() > may_miss) {
+        // The shards without room alone made it fail.
         signal = load_signal::overloaded;
     }
-    state_.shedder(*r.gather).finished(signal, now);
+    shedder().finished(signal, now);
 }
 
 auto routed_query::advance(time_point now) -> query_actions {
@@ -190,6 +206,16 @@
     }
 }
 
+auto routed_query::is_ready_to_answer(std::size_t open, time_point now) const -> bool {
+    if (open == 0 || now >= late_answer_deadline_) {
+        return true;
+    }
+    if (is_part()) {
+        return now >= answer_by_ && received_parts_ >= setup_.wanted_parts;
+    }
+    return now >= answer_by_ && now < objective_deadline_;
+}
+
 auto routed_query::finish_if_decided(time_point now, query_actions& out) -> void {
     latest_event_ = now;
     note_progress(now);
@@ -205,9 +231,7 @@
         finish(failure_code(), now, out);
         return;
     }
-    auto is_late = now >= late_answer_deadline_;
-    auto in_time = now >= answer_by_ && now < objective_deadline_;
-    if (received_parts_ >= required && (open == 0 || in_time || is_late)) {
+    if (received_parts_ >= required && is_ready_to_answer(open, now)) {
         finish(result_code::ok, now, out);
         return;
     }
@@ -228,8 +252,9 @@
             return shard.failed_with == result_code::outcome_unknown ? result_code::outcome_unknown
                                                                      : result_code::upstream_failed;
         }
-        if (shard.failed_with == result_code::upstream_shedding) {
-            worst = result_code::upstream_shedding;
+        if (shard.failed_with == result_code::upstream_shedding ||
+            shard.failed_with == result_code::overloaded) {
+            worst = shard.failed_with;
         }
     }
     return worst;
@@ -262,8 +287,11 @@
             }
         }
     }
-    answer.retry_after =
-        state_.retry_after(code, *setup_.matched, setup_.table->is_urgent(*setup_.matched), now);
+    auto is_urgent = setup_.table->is_urgent(*setup_.matched);
+    answer.retry_after = std::max(refusal_wait_, state_.retry_after(code, *setup_.matched, is_urgent, now));
+    if (is_part() && code == result_code::overloaded) {
+        answer.retry_after += shedder().extra_wait(is_urgent, state_.random(), now);
+    }
     if (first_part_at_) {
         answer.first_part_after = *first_part_at_ - setup_.received;
     }
--- a/tests/unit/routing/load_shedder.cpp
+++ b/tests/unit/routing/load_shedder.cpp
@@ -138,6 +138,53 @@
         CHECK(overdue.notes[0].event == "hedge_denied");
         CHECK(overdue.notes[0].reason == "overload");
     }
+    SECTION("are refused by the instance that runs them for others, the same queries at each") {
+        // Load pattern: each of hundreds of instances passes on less than one query a second and sees no
+        // overload; the instance that runs the parts sees it.
+        auto part_setup = [&](std::int64_t received_ms, double sample) {
+            auto setup = setup_later();
+            setup.received = at_ms(received_ms);
+            setup.only_shards = {};
+            for (std::size_t i = 0; i < 20; ++i) {
+                setup.only_shards.push_back(i);
+            }
+            setup.answer_by = at_ms(received_ms + 80);
+            setup.wanted_parts = 15;
+            setup.may_refuse_part = true;
+            setup.admission_sample = sample;
+            return setup;
+        };
+        for (int i = 0; i < 5; ++i) {
+            routed_query part{f.state, part_setup(0, 0), f.next_attempt};
+            auto started = part.start(at_ms(0));
+            query_actions last;
+            for (std::size_t k = 0; k < 10; ++k) {
+                auto retried = part.ended(started.sends[k].attempt, full, at_ms(5));
+                for (const auto& again : retried.sends) {
+                    last = part.ended(again.attempt, full, at_ms(9));
+                }
+            }
+            part.abandon(at_ms(990));
+        }
+        const auto& rule = *f.table->find("desk.example", "/gather/1")->gather;
+        auto share = f.state.part_shedder(rule).admitted_share(at_ms(1000));
+        CHECK(share < 0.8);
+        CHECK(f.state.shedder(rule).admitted_share(at_ms(1000)) == 1);
+        for (auto sample : {0.0, 0.1, share - 0.01, share + 0.01, 0.99}) {
+            routed_query part{f.state, part_setup(1000, sample), f.next_attempt};
+            auto started = part.start(at_ms(1000));
+            INFO("sample " << sample << ", share " << share);
+            CHECK(started.answer.has_value() == (sample > share));
+            if (started.answer) {
+                CHECK(started.answer->code == result_code::overloaded);
+                CHECK(started.sends.empty());
+            }
+        }
+        auto whole = part_setup(1000, 0.99);
+        whole.may_refuse_part = false;
+        routed_query part{f.state, whole, f.next_attempt};
+        CHECK(part.start(at_ms(1000)).sends.size() == 20);
+    }
     SECTION("do not cause refusal of parts of queries that another instance admitted") {
         for (int i = 0; i < 10; ++i) {
             run_overloaded();
