Notice an overload at the objective, and do not wait for missing parts meanwhile

Cause: a query over shards reported its load only when it ended. Change: the load is reported at the objective; while the set is overloaded, a part is answered at the objective with what it has.

--- a/include/eelgrassledge/routing/routed_query.hpp
+++ b/include/eelgrassledge/routing/routed_query.hpp
@@ -334,6 +334,8 @@
     std::optional<time_point> enough_parts_at_;
     /// Connections that failed during a sub-request.
     std::size_t broken_connections_ = 0;
+    /// Whether the outcome was reported to the admission control: at the objective, or when it ended earlier.
+    bool load_recorded_ = false;
     bool finished_ = false;
 };
 
--- a/src/routing/routed_query.cpp
+++ b/src/routing/routed_query.cpp
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <utility>
 
 #include "eelgrassledge/routing/record_merge.hpp"
 
@@ -168,7 +169,7 @@
 
 auto routed_query::record_load(time_point now) -> void {
     const auto& r = *setup_.matched;
-    if (!r.gather || send_count() == 0) {
+    if (!r.gather || send_count() == 0 || std::exchange(load_recorded_, true)) {
         return;
     }
     auto has_enough_parts = received_parts_ >= sufficient_parts();
@@ -211,7 +212,9 @@
         return true;
     }
     if (is_part()) {
-        return now >= answer_by_ && received_parts_ >= setup_.wanted_parts;
+        // Under overload, waiting for more would only take capacity from queries that can be in time.
+        auto is_worth_sending = received_parts_ >= setup_.wanted_parts || is_overloaded(now);
+        return now >= answer_by_ && is_worth_sending;
     }
     return now >= answer_by_ && now < objective_deadline_;
 }
@@ -222,6 +225,10 @@
     if (finished_) {
         return;
     }
+    if (now >= objective_deadline_) {
+        // An overload must be noticed before the late queries have ended.
+        record_load(now);
+    }
     std::size_t open = 0;
     for (const auto& shard : shards_) {
         open += shard.settled ? 0 : 1;
@@ -351,6 +358,9 @@
     if (received_parts_ >= required_parts()) {
         next = std::min(next, latest_event_ < answer_by_ ? answer_by_ : late_answer_deadline_);
     }
+    if (setup_.matched->gather && latest_event_ < objective_deadline_) {
+        next = std::min(next, objective_deadline_);
+    }
     for (const auto& shard : shards_) {
         if (!shard.settled && shard.overdue_at) {
             next = std::min(next, *shard.overdue_at);
--- a/tests/unit/routing/load_shedder.cpp
+++ b/tests/unit/routing/load_shedder.cpp
@@ -185,6 +185,46 @@
         routed_query part{f.state, whole, f.next_attempt};
         CHECK(part.start(at_ms(1000)).sends.size() == 20);
     }
+    SECTION("signal overload at their objective, before they have ended") {
+        for (const auto* zone : {"a", "b"}) {
+            for (int i = 0; i < 20; ++i) {
+                auto upstream = f.state.upstreams().find(upstream_id{"s" + std::to_string(i) + zone});
+                upstream->limit_in_flight(1);
+                upstream->sent(at_ms(-20));
+                upstream->sent(at_ms(0));
+                upstream->sent(at_ms(0));
+                upstream->answered(milliseconds{50}, true, at_ms(30));
+            }
+        }
+        routed_query query{f.state, f.setup("/gather/1"), f.next_attempt};
+        query.start(at_ms(0));
+        CHECK(query.next_wakeup() <= at_ms(100));
+        CHECK_FALSE(query.advance(at_ms(100)).answer);
+        CHECK(query.next_wakeup() > at_ms(100));
+        const auto& rule = *f.table->find("desk.example", "/gather/1")->gather;
+        auto share = f.state.shedder(rule).admitted_share(at_ms(100));
+        CHECK(share < 1);
+        // One signal a query.
+        query.advance(at_ms(990));
+        CHECK(f.state.shedder(rule).admitted_share(at_ms(990)) >= share);
+    }
+    SECTION("do not wait for missing parts of another instance's query") {
+        const auto& rule = *f.table->find("desk.example", "/gather/1")->gather;
+        for (int i = 0; i < 3; ++i) {
+            f.state.part_shedder(rule).finished(load_signal::overloaded, at_ms(0));
+        }
+        auto setup = f.setup("/gather/1");
+        setup.only_shards = {0, 1, 2, 3};
+        setup.answer_by = at_ms(85);
+        setup.wanted_parts = 3;
+        routed_query part{f.state, setup, f.next_attempt};
+        auto started = part.start(at_ms(0));
+        REQUIRE(started.sends.size() == 4);
+        part.ended(started.sends[0].attempt, good_answer("a"), at_ms(20));
+        auto last = part.advance(at_ms(85));
+        REQUIRE(last.answer);
+        CHECK(last.answer->parts.size() == 1);
+    }
     SECTION("do not cause refusal of parts of queries that another instance admitted") {
         for (int i = 0; i < 10; ++i) {
             run_overloaded();
