--- a/src/proxy/forwarder.cpp
+++ b/src/proxy/forwarder.cpp
@@ -381,6 +381,7 @@
     state_.upstreams().sweep(now);
     peers_.sweep(now);
     suspects_.sweep(now);
+    std::erase_if(bad_waits_, [&](const upstream_id& id) { return !state_.upstreams().find(id); });
     std::erase_if(pools_, [&](const auto& entry) {
         const auto& [key, pool] = entry;
         pool.connections->close_idle(now);
