--- a/include/eelgrassledge/proxy/connection_pool.hpp
+++ b/include/eelgrassledge/proxy/connection_pool.hpp
@@ -6,13 +6,12 @@
 
 #include "eelgrassledge/proxy/http_connection.hpp"
 #include "eelgrassledge/routing/routed_query.hpp"
-#include "eelgrassledge/routing/send_queue.hpp"
 
 namespace eelgrassledge {
 
 /// Connections from this instance to one server. Idle connections are reused. At most as many requests
 /// as `limit` allows run at a time, so that this instance stays within its share of the connections that the
-/// server accepts; further requests are queued, and `next_to_send` chooses among them.
+/// server accepts; further requests are queued in order.
 class connection_pool {
   public:
     connection_pool(network_context& network, asio::ip::tcp::endpoint remote);
@@ -27,8 +26,6 @@
         /// Serialises the request. Called when the request is started, after any wait in the queue, so that
         /// the text states the time left at that moment.
         std::function<std::string()> bytes;
-        /// Decides its place among the queued requests.
-        queued_send place;
         /// Set for a HEAD request.
         bool to_head = false;
         /// Whether the request must go out on a new connection.
--- a/include/eelgrassledge/proxy/forwarder.hpp
+++ b/include/eelgrassledge/proxy/forwarder.hpp
@@ -13,7 +13,6 @@
 #include "eelgrassledge/proxy/connection_pool.hpp"
 #include "eelgrassledge/proxy/http_server.hpp"
 #include "eelgrassledge/proxy/peer_calls.hpp"
-#include "eelgrassledge/routing/connection_share.hpp"
 #include "eelgrassledge/routing/crash_suspects.hpp"
 #include "eelgrassledge/routing/gather_placement.hpp"
 #include "eelgrassledge/routing/stop_schedule.hpp"
@@ -140,7 +139,7 @@
     /// Deadline that the request states, or else the route's timeout from now.
     [[nodiscard]] auto deadline_of(const inbound_request& request, const route& r) const -> time_point;
     /// Connection pool of an upstream, created if necessary, with its limit set to this instance's share.
-    auto pool_of(const shared_upstream& to, bool is_overloaded) -> connection_pool&;
+    auto pool_of(const shared_upstream& to) -> connection_pool&;
     /// Updates the query's entry in `wakeups_`.
     auto schedule_wakeup(query_number number) -> void;
     /// Sets the timer to the earliest wake-up, if it is earlier than the one it is set to.
--- a/include/eelgrassledge/proxy/http_connection.hpp
+++ b/include/eelgrassledge/proxy/http_connection.hpp
@@ -31,7 +31,7 @@
 /// How an exchange on a connection ended.
 enum class exchange_end : std::uint8_t {
     answered,       ///< A complete answer was received.
-    not_connected,  ///< No connection was opened, or it failed before anything was sent.
+    not_connected,  ///< No connection was opened, so nothing was sent.
     broken,         ///< The connection ended, or the bytes received are not the expected answer.
 };
 
--- a/include/eelgrassledge/proxy/peer_protocol.hpp
+++ b/include/eelgrassledge/proxy/peer_protocol.hpp
@@ -17,10 +17,6 @@
     std::vector<std::size_t> shards;
     /// Time until the answer should be sent; whole milliseconds on the wire.
     duration answer_in{};
-    /// Fewest parts with which to answer then.
-    std::size_t wanted_parts = 1;
-    /// Whether the query may be refused for lack of capacity.
-    bool may_be_refused = false;
 };
 
 /// Headers that carry a peer query.
--- a/include/eelgrassledge/routing/instance_directory.hpp
+++ b/include/eelgrassledge/routing/instance_directory.hpp
@@ -22,15 +22,6 @@
     double capacity = 0;
 };
 
-/// How many instances share the connections of the upstreams.
-struct sender_counts {
-    std::size_t all = 1;
-    /// Those that are large enough in their zone to do work of other instances.
-    std::size_t larger = 1;
-    /// Whether this instance is one of them.
-    bool is_larger = true;
-};
-
 /// The known instances, and which of them failed to answer recently. Not synchronized.
 class instance_directory {
   public:
@@ -50,8 +41,6 @@
     [[nodiscard]] auto others() const -> std::vector<instance_record>;
 
     [[nodiscard]] auto count() const -> std::size_t;
-    /// Linear in the number of instances.
-    [[nodiscard]] auto senders() const -> sender_counts;
     [[nodiscard]] auto self() const -> const instance_record& { return self_; }
 
     /// Usable instances of a zone, this one included, except those with less than half of the capacity of the
--- a/include/eelgrassledge/routing/routed_query.hpp
+++ b/include/eelgrassledge/routing/routed_query.hpp
@@ -10,7 +10,6 @@
 #include "eelgrassledge/core/result_code.hpp"
 #include "eelgrassledge/routing/gather_placement.hpp"
 #include "eelgrassledge/routing/routing_state.hpp"
-#include "eelgrassledge/routing/send_queue.hpp"
 
 namespace eelgrassledge {
 
@@ -43,7 +42,7 @@
 enum class attempt_end : std::uint8_t {
     answered,  ///< The upstream answered; it ran the request.
     not_run,   ///< The upstream refused the request and stated that it did not run it.
-    not_sent,  ///< No connection was opened, or it failed before anything was sent.
+    not_sent,  ///< No connection was opened.
     unclear,   ///< The connection failed or the answer was invalid; the request may have run.
 };
 
@@ -71,14 +70,8 @@
 struct group_order {
     attempt_id call;
     shard_group group;
-    /// When the other instance should send its answer, with the parts that it has received by then, if they
-    /// are as many as wanted; else as soon as it has as many.
+    /// When the other instance should send its answer, with the parts that it has received by then.
     time_point answer_by;
-    /// Fewest parts with which the whole query can succeed.
-    std::size_t wanted_parts = 1;
-    /// Whether the other instance may refuse the group for lack of capacity. Only if the group is the whole
-    /// query; otherwise parts of the other shards would run for nothing.
-    bool may_be_refused = false;
     time_point deadline;
 };
 
@@ -86,7 +79,6 @@
 enum class group_end : std::uint8_t {
     answered,   ///< The other instance returned parts of at least some shards.
     not_taken,  ///< The other instance did not process the request.
-    refused,    ///< The other instance refused the request for lack of capacity; nothing was run.
     silent,     ///< No answer; the other instance may or may not have queried the shards.
     failed,     ///< The other instance queried the shards and received no part.
 };
@@ -101,8 +93,6 @@
     std::vector<std::size_t> open_shards;
     /// Greatest records of the received parts, merged.
     std::string merged;
-    /// With `refused`: wait that the other instance proposes.
-    duration retry_after{};
     std::string reason;
 };
 
@@ -169,15 +159,6 @@
     /// that were received by then.
     std::vector<std::size_t> only_shards;
     std::optional<time_point> answer_by;
-    /// Fewest parts worth answering with at `answer_by`; an answer with fewer would fail the whole query, so
-    /// it waits for them. Ignored without `only_shards`.
-    std::size_t wanted_parts = 1;
-    /// Whether this instance may refuse a part for lack of capacity. Ignored without `only_shards`.
-    bool may_refuse_part = false;
-    /// Position of the request in the order in which queries are refused, from zero (last) to one. Derived
-    /// from the request's id, so that all instances that run parts of a query refuse the same queries; empty
-    /// for a random position.
-    std::optional<double> admission_sample;
     /// Whether the request is currently recorded as one that crashes upstreams; called before each send but
     /// the first.
     std::function<bool()> is_suspect;
@@ -224,11 +205,6 @@
     /// Upstreams to which the request was sent, separated by commas, in order; empty for more than one shard.
     [[nodiscard]] auto upstreams_tried() const -> std::string;
 
-    /// Whether queries over the same shards are being refused for lack of capacity.
-    [[nodiscard]] auto is_overloaded(time_point now) const -> bool;
-    /// Place of its sub-requests among those that wait for a connection.
-    [[nodiscard]] auto queue_place() const -> queued_send;
-
     [[nodiscard]] auto shard_count() const -> std::size_t { return shards_.size(); }
 
   private:
@@ -265,15 +241,7 @@
     };
 
     [[nodiscard]] auto is_idempotent() const -> bool;
-    [[nodiscard]] auto is_part() const -> bool { return !setup_.only_shards.empty(); }
-    /// Fewest parts with which the query, or the one that it is a part of, can succeed.
-    [[nodiscard]] auto sufficient_parts() const -> std::size_t;
-    /// Admission control of the query, or of parts for other instances.
-    [[nodiscard]] auto shedder() const -> load_shedder&;
     [[nodiscard]] auto required_parts() const -> std::size_t;
-    /// Whether the parts received so far are an answer that should go out now. `open` is the number of shards
-    /// that may still return a part.
-    [[nodiscard]] auto is_ready_to_answer(std::size_t open, time_point now) const -> bool;
     [[nodiscard]] auto choose_shards() -> std::vector<shard_state>;
     [[nodiscard]] auto is_admitted(time_point now, query_actions& out) -> bool;
     /// Number of shards without capacity: an upstream refused the sub-request, or the sub-request is queued
@@ -315,8 +283,6 @@
     std::uint64_t& next_attempt_;
     std::vector<shard_state> shards_;
     std::vector<running_group> groups_;
-    /// Longest wait proposed by an instance that refused a group.
-    duration refusal_wait_{};
     /// Merged records of each group, as returned by the other instances.
     std::vector<std::string> group_records_;
     /// From here on until `objective_deadline_` the query is answered as soon as it has the required parts.
@@ -334,8 +300,6 @@
     std::optional<time_point> enough_parts_at_;
     /// Connections that failed during a sub-request.
     std::size_t broken_connections_ = 0;
-    /// Whether the outcome was reported to the admission control: at the objective, or when it ended earlier.
-    bool load_recorded_ = false;
     bool finished_ = false;
 };
 
--- a/include/eelgrassledge/routing/routing_state.hpp
+++ b/include/eelgrassledge/routing/routing_state.hpp
@@ -1,6 +1,5 @@
 #pragma once
 
-#include <algorithm>
 #include <functional>
 #include <optional>
 #include <string>
@@ -9,7 +8,6 @@
 #include "eelgrassledge/core/result_code.hpp"
 #include "eelgrassledge/entry/latency_tracker.hpp"
 #include "eelgrassledge/routing/directory.hpp"
-#include "eelgrassledge/routing/instance_directory.hpp"
 #include "eelgrassledge/routing/load_shedder.hpp"
 #include "eelgrassledge/routing/retry_budget.hpp"
 #include "eelgrassledge/routing/route_table.hpp"
@@ -73,27 +71,13 @@
     /// Limits of a service's budget for this instance: the allowance is divided by the number of instances.
     [[nodiscard]] auto budget_limits() const -> retry_budget_limits;
 
-    /// Records how many known instances share the budgets and connections, this one included.
-    auto instances_changed(const sender_counts& counts, time_point now) -> void {
-        population_.observe(counts.all, now);
-        larger_population_.observe(counts.larger, now);
-        is_larger_ = counts.is_larger;
-    }
-    [[nodiscard]] auto senders() const -> sender_counts {
-        return {population_.count(), std::min(population_.count(), larger_population_.count()), is_larger_};
-    }
+    /// Records how many known instances share the budgets, this one included.
+    auto instances_changed(std::size_t count, time_point now) -> void { population_.observe(count, now); }
     [[nodiscard]] auto instances() const -> std::size_t { return population_.count(); }
 
     /// Load shedder of the set of shards that a rule fans out over.
     auto shedder(const gather_rule& rule) -> load_shedder& { return shedders_[rule.shards.front()]; }
 
-    /// The same for the parts that this instance queries for others. Separate, since an instance that does
-    /// the work of many sees an overload within a fraction of a second, and one that only passes queries on
-    /// does not see it at all.
-    auto part_shedder(const gather_rule& rule) -> load_shedder& {
-        return part_shedders_[rule.shards.front()];
-    }
-
     /// Recent latencies of sub-requests on a route.
     auto latencies(const std::string& route_name) -> latency_tracker& { return latencies_[route_name]; }
 
@@ -143,12 +127,9 @@
     zone_reachability zones_;
     std::function<double()> random_;
     instance_population population_;
-    instance_population larger_population_;
-    bool is_larger_ = true;
     std::unordered_map<service_id, retry_budget> budgets_;
     /// Keyed by the first shard of the set.
     std::unordered_map<service_id, load_shedder> shedders_;
-    std::unordered_map<service_id, load_shedder> part_shedders_;
     std::unordered_map<std::string, latency_tracker> latencies_;
     std::unordered_map<upstream_id, warm_up_share> cold_shares_;
 };
--- a/src/proxy/connection_pool.cpp
+++ b/src/proxy/connection_pool.cpp
@@ -97,13 +97,8 @@
     if (queue_.empty() || busy_.size() >= limit_) {
         return;
     }
-    std::vector<queued_send> places;
-    for (const auto& waiting : queue_) {
-        places.push_back(waiting.place);
-    }
-    auto chosen = queue_.begin() + static_cast<std::ptrdiff_t>(next_to_send(places, monotonic_now()));
-    auto next = std::move(*chosen);
-    queue_.erase(chosen);
+    auto next = std::move(queue_.front());
+    queue_.pop_front();
     if (!next.may_start || next.may_start()) {
         start(std::move(next));
         return;
--- a/src/proxy/forwarder.cpp
+++ b/src/proxy/forwarder.cpp
@@ -4,7 +4,6 @@
 
 #include <algorithm>
 #include <boost/container_hash/hash.hpp>
-#include <cmath>
 #include <random>
 
 #include "eelgrassledge/proxy/peer_protocol.hpp"
@@ -35,13 +34,6 @@
     return fingerprint{seed >> 1U};
 }
 
-/// A number from zero to one that depends only on the request's id.
-auto admission_sample_of(const request_id& id) -> double {
-    constexpr unsigned BITS = 53;
-    auto hash = static_cast<std::uint64_t>(std::hash<std::string>{}(id.value()));
-    return std::ldexp(static_cast<double>(hash >> (64U - BITS)), -static_cast<int>(BITS));
-}
-
 }  // namespace
 
 forwarder::forwarder(network_context& network, forwarder_settings settings, event_log log, metrics& counters)
@@ -101,7 +93,6 @@
     setup.received = now;
     setup.caller_deadline = deadline;
     setup.round_trip_time = session->network_time();
-    setup.admission_sample = admission_sample_of(id);
     if (r->gather) {
         setup.groups = placement_.plan(*r->gather, instances_, now);
     }
@@ -144,9 +135,6 @@
     setup.caller_deadline = deadline_of(request, *r);
     setup.only_shards = std::move(asked->shards);
     setup.answer_by = now + asked->answer_in;
-    setup.wanted_parts = asked->wanted_parts;
-    setup.may_refuse_part = asked->may_be_refused;
-    setup.admission_sample = admission_sample_of(id);
     start_query(session, std::move(request), id, request_fingerprint, std::move(setup));
 }
 
--- a/src/proxy/forwarder_sends.cpp
+++ b/src/proxy/forwarder_sends.cpp
@@ -11,6 +11,10 @@
 
 namespace {
 
+/// Fraction of an upstream's connections that all known instances together use. The rest is left for
+/// instances that have just started and are not counted yet.
+constexpr double CONNECTION_SHARE = 0.85;
+
 /// Another instance must confirm a query within the latency objective divided by this number, within bounds
 /// that allow for the round trip to another zone and for a moment in which that instance gets no processor
 /// time.
@@ -76,8 +80,8 @@
     call.bytes = query.head;
     call.bytes += fmt::format("{}: {}\r\n", settings_.headers.time_left,
                               std::max<std::int64_t>(1, (order.deadline - now) / milliseconds{1}));
-    for (const auto& header : to_headers({setup.table->version(), order.group.shards, order.answer_by - now,
-                                          order.wanted_parts, order.may_be_refused})) {
+    for (const auto& header :
+         to_headers({setup.table->version(), order.group.shards, order.answer_by - now})) {
         call.bytes += header.name + ": " + header.value + "\r\n";
     }
     call.bytes += "\r\n" + query.body;
@@ -114,7 +118,7 @@
     }
 }
 
-auto forwarder::pool_of(const shared_upstream& to, bool is_overloaded) -> connection_pool& {
+auto forwarder::pool_of(const shared_upstream& to) -> connection_pool& {
     auto found = pools_.find(to.get());
     if (found == pools_.end()) {
         auto remote = parse_endpoint(to->record().address).value_or(asio::ip::tcp::endpoint{});
@@ -122,8 +126,9 @@
                     .first;
     }
     const auto* rule = table_ ? table_->service(to->record().service) : nullptr;
-    auto all = rule != nullptr ? rule->max_connections : 0;
-    auto limit = connection_limit(all, to->record().slots, state_.senders(), is_overloaded);
+    auto all = rule != nullptr ? static_cast<double>(rule->max_connections) : 0;
+    auto share = CONNECTION_SHARE * all / static_cast<double>(state_.instances());
+    auto limit = std::max<std::size_t>(1, static_cast<std::size_t>(share));
     found->second.connections->limit(limit);
     to->limit_in_flight(limit);
     return *found->second.connections;
@@ -133,7 +138,6 @@
     connection_pool::request o;
     o.attempt = order.attempt;
     o.to_head = query.is_head_request;
-    o.place = query.decisions->queue_place();
     o.fresh_connection = order.fresh_connection;
     o.bytes = [this, number, order]() -> std::string {
         auto found = queries_.find(number);
@@ -162,7 +166,7 @@
                                                   {query.request_fingerprint, query.id, record.service,
                                                    record.id, record.born_unix_ms},
                                                   monotonic_now()});
-    pool_of(order.to, query.decisions->is_overloaded(monotonic_now())).send(std::move(o));
+    pool_of(order.to).send(std::move(o));
 }
 
 auto forwarder::cancel(attempt_id attempt) -> void {
@@ -175,10 +179,7 @@
     if (sent.to->is_unresponsive_since(sent.sent)) {
         suspects_.abandoned(sent.details, monotonic_now());
     }
-    auto pool = pools_.find(sent.to.get());
-    if (pool != pools_.end()) {
-        pool->second.connections->cancel(attempt);
-    }
+    pool_of(sent.to).cancel(attempt);
 }
 
 auto forwarder::cancel_all(const query_actions& actions) -> void {
--- a/src/proxy/forwarding_node.cpp
+++ b/src/proxy/forwarding_node.cpp
@@ -198,7 +198,7 @@
 }
 
 auto forwarding_node::update_instance_count() -> void {
-    forwarder_.state().instances_changed(forwarder_.instances().senders(), monotonic_now());
+    forwarder_.state().instances_changed(forwarder_.instances().count(), monotonic_now());
 }
 
 auto forwarding_node::begin_stop(std::function<void()> on_stopped) -> void {
--- a/src/proxy/peer_protocol.cpp
+++ b/src/proxy/peer_protocol.cpp
@@ -14,24 +14,14 @@
 constexpr std::string_view OPEN_SHARDS_HEADER = "X-Eelgrassledge-Open-Shards";
 /// Milliseconds until the answer should be sent.
 constexpr std::string_view ANSWER_MS_HEADER = "X-Eelgrassledge-Answer-Ms";
-/// Fewest parts with which to answer at that time; 1 if absent.
-constexpr std::string_view WANTED_HEADER = "X-Eelgrassledge-Wanted-Parts";
-/// Present if the request may be refused for lack of capacity.
-constexpr std::string_view MAY_REFUSE_HEADER = "X-Eelgrassledge-May-Refuse";
 /// Signatures in the order of the shards, separated by commas.
 constexpr std::string_view SIGNATURES_HEADER = "X-Eelgrassledge-Signatures";
 /// Present if the request was declined without being run.
 constexpr std::string_view NOT_TAKEN_HEADER = "X-Eelgrassledge-Not-Taken";
 
-/// Present if the request was refused for lack of capacity; milliseconds after which to try again.
-constexpr std::string_view REFUSED_HEADER = "X-Eelgrassledge-Refused-Ms";
-
 /// Path of a probe, which tests whether another instance can be reached.
 constexpr std::string_view PROBE_TARGET = "/probe";
 
-/// Upper limit of the wait that another instance proposes with a refusal.
-constexpr duration MAX_REFUSAL_WAIT = seconds{5};
-
 constexpr std::size_t BITS_PER_DIGIT = 4;
 
 auto digit_value(char c) -> int {
@@ -100,42 +90,29 @@
 
 auto to_headers(const peer_query& query) -> std::vector<http_header> {
     auto answer_ms = std::max<std::int64_t>(0, query.answer_in / milliseconds{1});
-    std::vector<http_header> headers{{std::string{VERSION_HEADER}, std::to_string(query.version.value())},
-                                     {std::string{SHARDS_HEADER}, to_bitmap(query.shards)},
-                                     {std::string{ANSWER_MS_HEADER}, std::to_string(answer_ms)},
-                                     {std::string{WANTED_HEADER}, std::to_string(query.wanted_parts)}};
-    if (query.may_be_refused) {
-        headers.push_back({std::string{MAY_REFUSE_HEADER}, "1"});
-    }
-    return headers;
+    return {{std::string{VERSION_HEADER}, std::to_string(query.version.value())},
+            {std::string{SHARDS_HEADER}, to_bitmap(query.shards)},
+            {std::string{ANSWER_MS_HEADER}, std::to_string(answer_ms)}};
 }
 
 auto extract_peer_query(std::vector<http_header>& headers) -> std::optional<peer_query> {
     auto version = to_whole_number(header_value(headers, VERSION_HEADER), -1);
     auto answer_ms = to_whole_number(header_value(headers, ANSWER_MS_HEADER), -1);
-    auto wanted = to_whole_number(header_value(headers, WANTED_HEADER), 1);
-    auto may_be_refused = has_header(headers, MAY_REFUSE_HEADER);
     auto shards = from_bitmap(header_value(headers, SHARDS_HEADER));
     std::erase_if(headers, [](const http_header& header) {
         return equal_ignoring_case(header.name, VERSION_HEADER) ||
                equal_ignoring_case(header.name, ANSWER_MS_HEADER) ||
-               equal_ignoring_case(header.name, WANTED_HEADER) ||
-               equal_ignoring_case(header.name, MAY_REFUSE_HEADER) ||
                equal_ignoring_case(header.name, SHARDS_HEADER);
     });
     if (version < 0 || answer_ms < 0 || !shards || shards->empty()) {
         return std::nullopt;
     }
     return peer_query{config_version{static_cast<std::uint64_t>(version)}, std::move(*shards),
-                      milliseconds{answer_ms}, static_cast<std::size_t>(wanted), may_be_refused};
+                      milliseconds{answer_ms}};
 }
 
 auto to_peer_response(const query_answer& answer) -> outbound_response {
     outbound_response response;
-    if (answer.code == result_code::overloaded) {
-        auto wait_ms = std::to_string(answer.retry_after / milliseconds{1});
-        return {503, {{std::string{REFUSED_HEADER}, wait_ms}}, ""};
-    }
     if (answer.code != result_code::ok) {
         response.status = 502;
         return response;
@@ -161,14 +138,6 @@
 
 auto read_peer_response(int status, const std::vector<http_header>& headers, std::string body,
                         const std::vector<std::size_t>& asked) -> group_outcome {
-    auto refused_ms = to_whole_number(header_value(headers, REFUSED_HEADER), -1);
-    if (refused_ms >= 0) {
-        group_outcome outcome;
-        outcome.end = group_end::refused;
-        outcome.retry_after = std::min<duration>(milliseconds{refused_ms}, MAX_REFUSAL_WAIT);
-        outcome.reason = "the other instance has no capacity";
-        return outcome;
-    }
     if (status != 200) {
         return failed_group("the other instance answered with status " + std::to_string(status));
     }
--- a/src/routing/instance_directory.cpp
+++ b/src/routing/instance_directory.cpp
@@ -50,25 +50,6 @@
     return others_.size() + 1;
 }
 
-auto instance_directory::senders() const -> sender_counts {
-    std::map<zone_id, double> largest{{self_.zone, self_.capacity}};
-    for (const auto& [id, known] : others_) {
-        auto& of_zone = largest[known.record.zone];
-        of_zone = std::max(of_zone, known.record.capacity);
-    }
-    auto is_larger = [&](const instance_record& record) {
-        return record.capacity >= ELIGIBLE_SHARE * largest.at(record.zone);
-    };
-    sender_counts counts;
-    counts.all = count();
-    counts.is_larger = is_larger(self_);
-    counts.larger = counts.is_larger ? 1 : 0;
-    for (const auto& [id, known] : others_) {
-        counts.larger += is_larger(known.record) ? 1 : 0;
-    }
-    return counts;
-}
-
 auto instance_directory::is_usable(const instance_id& id, time_point now) const -> bool {
     auto found = others_.find(id);
     return id == self_.id || (found != others_.end() && now >= found->second.avoid_until);
--- a/src/routing/query_attempts.cpp
+++ b/src/routing/query_attempts.cpp
@@ -239,11 +239,11 @@
     }
     shard.overdue_at = now + HEDGE_RECHECK;
     const auto* rule = setup_.table->service(shard.service);
-    auto overloaded = is_overloaded(now);
-    auto to = overloaded ? nullptr : state_.choose(shard.service, shard.tried, true, rule, now);
+    auto is_overloaded = setup_.matched->gather && state_.shedder(*setup_.matched->gather).is_shedding(now);
+    auto to = is_overloaded ? nullptr : state_.choose(shard.service, shard.tried, true, rule, now);
     if (!to || !state_.budget(shard.service).take(state_.budget_limits(), now)) {
         if (!std::exchange(shard.hedge_denied, true)) {
-            const auto* reason = overloaded ? "overload" : to ? "budget" : "no_healthy_upstream";
+            const auto* reason = is_overloaded ? "overload" : to ? "budget" : "no_healthy_upstream";
             out.notes.push_back({"hedge_denied", reason,
                                  fmt::format("shard={} overdue={}", shard.service.value(),
                                              shard.running.front().to->id().value())});
--- a/src/routing/query_groups.cpp
+++ b/src/routing/query_groups.cpp
@@ -21,8 +21,6 @@
             return "answered";
         case group_end::not_taken:
             return "not_taken";
-        case group_end::refused:
-            return "refused";
         case group_end::silent:
             return "silent";
         case group_end::failed:
@@ -32,14 +30,10 @@
 }
 
 auto routed_query::send_groups(time_point now, query_actions& out) -> void {
-    // A group that misses more shards than the whole query may miss makes the query fail.
-    auto may_miss = shards_.size() - required_parts();
     for (const auto& group : setup_.groups) {
-        auto wanted = std::max(group.shards.size(), may_miss + 1) - may_miss;
         attempt_id call{next_attempt_++};
         groups_.push_back({call, group.shards, now});
-        out.group_sends.push_back({call, group, answer_by_ - GROUP_ANSWER_MARGIN, wanted,
-                                   group.shards.size() == shards_.size(), deadline_});
+        out.group_sends.push_back({call, group, answer_by_ - GROUP_ANSWER_MARGIN, deadline_});
     }
 }
 
@@ -66,7 +60,6 @@
     auto group = std::move(*found);
     groups_.erase(found);
     add_group_parts(outcome);
-    refusal_wait_ = std::max(refusal_wait_, outcome.retry_after);
     if (outcome.end != group_end::answered) {
         out.notes.push_back({"group_failed", std::string{to_string(outcome.end)},
                              fmt::format("shards={} cause={}", group.shards.size(), outcome.reason)});
@@ -84,11 +77,7 @@
         const auto& open = outcome.open_shards;
         auto has_attempt_left =
             one_attempt_used || std::find(open.begin(), open.end(), position) != open.end();
-        if (outcome.end == group_end::refused) {
-            // Sending it from here would add to the load that the other instance avoids.
-            shard.settled = true;
-            shard.failed_with = result_code::overloaded;
-        } else if (outcome.end == group_end::not_taken && is_suspect(shard, out)) {
+        if (outcome.end == group_end::not_taken && is_suspect(shard, out)) {
             // The shard has not run.
             shard.settled = true;
             shard.failed_with = result_code::upstream_unreachable;
--- a/src/routing/routed_query.cpp
+++ b/src/routing/routed_query.cpp
@@ -3,7 +3,6 @@
 #include <fmt/format.h>
 
 #include <algorithm>
-#include <utility>
 
 #include "eelgrassledge/routing/record_merge.hpp"
 
@@ -11,8 +10,9 @@
 
 namespace {
 
-/// Share of the latency objective that a sub-request needs to run once it is sent.
-constexpr double RUN_SHARE = 0.25;
+/// Minimum share of a query's shards without capacity for a failure to count as an overload signal; a few
+/// full upstreams may have faults of their own.
+constexpr double MIN_SATURATED_SHARE = 0.25;
 
 }  // namespace
 
@@ -30,7 +30,7 @@
     }
     auto late_limit =
         std::chrono::duration_cast<duration>(r.latency_objective * state_.policy().late_answer_factor);
-    late_answer_deadline_ = is_part() ? deadline_ : std::min(setup_.received + late_limit, deadline_);
+    late_answer_deadline_ = std::min(setup_.received + late_limit, deadline_);
 }
 
 auto routed_query::limit_deadline(time_point latest) -> void {
@@ -44,31 +44,12 @@
 }
 
 auto routed_query::required_parts() const -> std::size_t {
-    if (!setup_.matched->gather || is_part()) {
+    if (!setup_.matched->gather || !setup_.only_shards.empty()) {
         return 1;
     }
     return setup_.matched->gather->required_parts();
 }
 
-auto routed_query::sufficient_parts() const -> std::size_t {
-    return is_part() ? setup_.wanted_parts : required_parts();
-}
-
-auto routed_query::queue_place() const -> queued_send {
-    const auto& r = *setup_.matched;
-    auto reserve = std::chrono::duration_cast<duration>(r.latency_objective * RUN_SHARE);
-    return {r.rank, objective_deadline_ - reserve};
-}
-
-auto routed_query::is_overloaded(time_point now) const -> bool {
-    return setup_.matched->gather && shedder().is_shedding(now);
-}
-
-auto routed_query::shedder() const -> load_shedder& {
-    const auto& rule = *setup_.matched->gather;
-    return is_part() ? state_.part_shedder(rule) : state_.shedder(rule);
-}
-
 auto routed_query::choose_shards() -> std::vector<shard_state> {
     const auto& r = *setup_.matched;
     std::vector<shard_state> shards;
@@ -143,18 +124,19 @@
     return out;
 }
 
+// The parts of another instance's query were admitted by that instance.
 auto routed_query::is_admitted(time_point now, query_actions& out) -> bool {
     const auto& r = *setup_.matched;
-    if (!r.gather || (is_part() && !setup_.may_refuse_part)) {
+    if (!r.gather || !setup_.only_shards.empty()) {
         return true;
     }
+    const auto& shedder = state_.shedder(*r.gather);
     auto is_urgent = setup_.table->is_urgent(r);
-    auto sample = setup_.admission_sample ? *setup_.admission_sample : state_.random();
-    if (shedder().admits(is_urgent, sample, now)) {
+    if (shedder.admits(is_urgent, state_.random(), now)) {
         return true;
     }
-    out.notes.push_back({is_part() ? "part_shed" : "shed", is_urgent ? "urgent" : "not_urgent",
-                         fmt::format("admitted_share={:.2f}", shedder().admitted_share(now))});
+    out.notes.push_back({"shed", is_urgent ? "urgent" : "not_urgent",
+                         fmt::format("admitted_share={:.2f}", shedder.admitted_share(now))});
     return false;
 }
 
@@ -169,19 +151,20 @@
 
 auto routed_query::record_load(time_point now) -> void {
     const auto& r = *setup_.matched;
-    if (!r.gather || send_count() == 0 || std::exchange(load_recorded_, true)) {
+    if (!r.gather || send_count() == 0) {
         return;
     }
-    auto has_enough_parts = received_parts_ >= sufficient_parts();
-    auto may_miss = shards_.size() - std::min(shards_.size(), sufficient_parts());
+    auto count = static_cast<double>(shards_.size());
+    auto has_enough_parts = static_cast<double>(received_parts_) >= r.gather->min_shard_ratio * count;
     auto signal = load_signal::unclear;
     if (has_enough_parts && now < objective_deadline_) {
-        signal = load_signal::in_time;
-    } else if (!has_enough_parts && saturated_shards() > may_miss) {
-        // The shards without room alone made it fail.
+        // A part that is in time says little about its query: the query has parts at several instances, and
+        // one late part makes the whole query late.
+        signal = setup_.only_shards.empty() ? load_signal::in_time : load_signal::unclear;
+    } else if (!has_enough_parts && static_cast<double>(saturated_shards()) >= MIN_SATURATED_SHARE * count) {
         signal = load_signal::overloaded;
     }
-    shedder().finished(signal, now);
+    state_.shedder(*r.gather).finished(signal, now);
 }
 
 auto routed_query::advance(time_point now) -> query_actions {
@@ -207,28 +190,12 @@
     }
 }
 
-auto routed_query::is_ready_to_answer(std::size_t open, time_point now) const -> bool {
-    if (open == 0 || now >= late_answer_deadline_) {
-        return true;
-    }
-    if (is_part()) {
-        // Under overload, waiting for more would only take capacity from queries that can be in time.
-        auto is_worth_sending = received_parts_ >= setup_.wanted_parts || is_overloaded(now);
-        return now >= answer_by_ && is_worth_sending;
-    }
-    return now >= answer_by_ && now < objective_deadline_;
-}
-
 auto routed_query::finish_if_decided(time_point now, query_actions& out) -> void {
     latest_event_ = now;
     note_progress(now);
     if (finished_) {
         return;
     }
-    if (now >= objective_deadline_) {
-        // An overload must be noticed before the late queries have ended.
-        record_load(now);
-    }
     std::size_t open = 0;
     for (const auto& shard : shards_) {
         open += shard.settled ? 0 : 1;
@@ -238,7 +205,9 @@
         finish(failure_code(), now, out);
         return;
     }
-    if (received_parts_ >= required && is_ready_to_answer(open, now)) {
+    auto is_late = now >= late_answer_deadline_;
+    auto in_time = now >= answer_by_ && now < objective_deadline_;
+    if (received_parts_ >= required && (open == 0 || in_time || is_late)) {
         finish(result_code::ok, now, out);
         return;
     }
@@ -259,9 +228,8 @@
             return shard.failed_with == result_code::outcome_unknown ? result_code::outcome_unknown
                                                                      : result_code::upstream_failed;
         }
-        if (shard.failed_with == result_code::upstream_shedding ||
-            shard.failed_with == result_code::overloaded) {
-            worst = shard.failed_with;
+        if (shard.failed_with == result_code::upstream_shedding) {
+            worst = result_code::upstream_shedding;
         }
     }
     return worst;
@@ -294,11 +262,8 @@
             }
         }
     }
-    auto is_urgent = setup_.table->is_urgent(*setup_.matched);
-    answer.retry_after = std::max(refusal_wait_, state_.retry_after(code, *setup_.matched, is_urgent, now));
-    if (is_part() && code == result_code::overloaded) {
-        answer.retry_after += shedder().extra_wait(is_urgent, state_.random(), now);
-    }
+    answer.retry_after =
+        state_.retry_after(code, *setup_.matched, setup_.table->is_urgent(*setup_.matched), now);
     if (first_part_at_) {
         answer.first_part_after = *first_part_at_ - setup_.received;
     }
@@ -358,9 +323,6 @@
     if (received_parts_ >= required_parts()) {
         next = std::min(next, latest_event_ < answer_by_ ? answer_by_ : late_answer_deadline_);
     }
-    if (setup_.matched->gather && latest_event_ < objective_deadline_) {
-        next = std::min(next, objective_deadline_);
-    }
     for (const auto& shard : shards_) {
         if (!shard.settled && shard.overdue_at) {
             next = std::min(next, *shard.overdue_at);
