--- /dev/null
+++ b/review/1/case.cpp
@@ -0,0 +1,125 @@
+// A searcher that was added to a service of two, one of which is then down, drains soon after its start. Its
+// entry changes with each heartbeat, since it is still cold, and long after the bound for new work it gets
+// requests again.
+
+#include <fmt/format.h>
+
+#include <csignal>
+
+#include "stage.hpp"
+
+using namespace eelgrassledge;
+using namespace eelgrassledge::review;
+
+namespace {
+
+constexpr const char* SERVICE = "recipe-book-1";
+constexpr int SLOTS = 6;
+constexpr int WORK_MS = 100;
+constexpr int DEADLINE_MS = 1500;
+constexpr int DRAIN_MS = 3000;
+constexpr int WARM_UP_MS = 3000;
+
+/// Time between two heartbeats of a searcher, as in the settings.
+constexpr int HEARTBEAT_MS = 1200;
+
+/// Time from the start of the added searcher to its draining.
+constexpr int DRAINS_AFTER_MS = 400;
+
+/// How long a draining searcher serves after the store has accepted that it drains.
+constexpr int SERVES_MS = 3300;
+
+/// Time from the draining to the crash of the other searcher.
+constexpr int CRASHES_AFTER_MS = 2700;
+
+/// Time between two requests at each daemon.
+constexpr int REQUEST_INTERVAL_MS = 40;
+
+auto configuration() -> std::string {
+    nlohmann::json route{{"name", "r-1"},         {"hostname", "desk.example"}, {"pathPrefix", "/recipes/"},
+                         {"routeType", "unsafe"}, {"timeoutMs", DEADLINE_MS},   {"targetLatencyMs", 600},
+                         {"priority", 2},         {"backend", SERVICE},         {"maxAttempts", 2}};
+    nlohmann::json service{{"name", SERVICE},      {"healthCheckPath", "/health"},
+                           {"maxConnections", 26}, {"protocol", "h1"},
+                           {"tls", false},         {"warmupS", 3.0},
+                           {"warmupPerS", 0.0}};
+    nlohmann::json document{{"version", 7},
+                            {"routes", {route}},
+                            {"backends", {service}},
+                            {"limits",
+                             {{"maxHeaderBytes", 16384},
+                              {"maxBodyBytes", 262144},
+                              {"headerTimeoutMs", 3000},
+                              {"idleTimeoutMs", 15000}}}};
+    return document.dump();
+}
+
+auto run(stage& s) -> int {
+    s.start_store();
+    s.put("op/config", configuration());
+    auto& first = s.start_searcher("i-first", SERVICE, "sofia-a", SLOTS, WORK_MS);
+    s.beat(first, "ready");
+    std::vector<daemon_process*> daemons{&s.add_daemon("sofia-a"), &s.add_daemon("sofia-b")};
+    for (auto* daemon : daemons) {
+        s.start_daemon(*daemon);
+    }
+    s.wait_until_ready();
+    s.record("daemons are ready");
+    int count = 0;
+    auto send_to_all = [&] {
+        for (auto* daemon : daemons) {
+            s.send(daemon->caller_address, "POST", "/recipes/save", fmt::format("q{}", ++count), DEADLINE_MS,
+                   "a recipe");
+        }
+    };
+    // Longer than `contactMs`, so that the daemons are in touch.
+    for (int i = 0; i < 125; ++i) {
+        send_to_all();
+        s.wait(milliseconds{REQUEST_INTERVAL_MS});
+    }
+    auto& added = s.start_searcher("i-added", SERVICE, "sofia-b", SLOTS, WORK_MS);
+    auto born_ms = s.beat(added, "ready", WARM_UP_MS);
+    s.wait(milliseconds{DRAINS_AFTER_MS});
+    s.make_leaving(added);
+    auto drained_ms = s.beat(added, "draining", WARM_UP_MS - DRAINS_AFTER_MS);
+    auto next_beat_ms = born_ms + HEARTBEAT_MS;
+    auto is_first_down = false;
+    while (s.now_ms() < drained_ms + SERVES_MS) {
+        send_to_all();
+        s.wait(milliseconds{REQUEST_INTERVAL_MS});
+        if (s.now_ms() >= next_beat_ms) {
+            auto left_ms = std::max(0, WARM_UP_MS - static_cast<int>(next_beat_ms - born_ms));
+            s.beat(added, "draining", left_ms);
+            next_beat_ms += HEARTBEAT_MS;
+        }
+        if (has_trouble() && !is_first_down && s.now_ms() >= drained_ms + CRASHES_AFTER_MS) {
+            is_first_down = true;
+            s.record("i-first crashes");
+            first.process->signal(SIGKILL);
+        }
+    }
+    s.record("i-added exits");
+    added.process->signal(SIGKILL);
+    s.wait(milliseconds{DEADLINE_MS});
+
+    int late = 0;
+    int lost = 0;
+    for (const auto& event : s.events(added)) {
+        s.record(fmt::format("i-added: {} {}", event.event, event.request), event.at_ms);
+        late += event.event == "arrived" && event.at_ms > drained_ms + DRAIN_MS ? 1 : 0;
+    }
+    for (const auto& request : s.requests()) {
+        lost += request->has_ended && request->result.status == 504 ? 1 : 0;
+    }
+    s.record(
+        fmt::format("{} requests reached i-added later than {} ms after the acknowledgement; "
+                    "{} requests ended with status 504",
+                    late, DRAIN_MS, lost));
+    return late == 0 ? RULE_HELD : RULE_BROKEN;
+}
+
+}  // namespace
+
+auto main(int argc, char** argv) -> int {
+    return run_case(argc, argv, run);
+}
