--- a/review/standins/stage.cpp
+++ b/review/standins/stage.cpp
@@ -149,10 +149,6 @@
     return now_ms();
 }
 
-auto stage::remove(const std::string& key) -> void {
-    control_store("/standin/remove?key=" + percent_encoded(key));
-}
-
 auto stage::add_daemon(const std::string& zone) -> daemon_process& {
     auto daemon = std::make_unique<daemon_process>();
     auto number = daemons_.size() + 1;
@@ -167,11 +163,6 @@
     return *daemons_.back();
 }
 
-auto stage::add_store_link(daemon_process& daemon) -> silent_proxy& {
-    daemon.store_link = std::make_unique<silent_proxy>(network_, test::free_address(), store_address_);
-    return *daemon.store_link;
-}
-
 auto stage::write_settings(const daemon_process& daemon) -> void {
     json seeds = json::array();
     json zones = json::object();
@@ -211,7 +202,7 @@
         {"faultTolerance", {{"machines", 2}, {"zones", 1}, {"regions", 0}}},
         {"bounds", bounds_},
         {"platform",
-         {{"address", daemon.store_link ? daemon.store_link->address() : store_address_},
+         {{"address", store_address_},
           {"form", "kv"},
           {"writesPerS", 400},
           {"readsPerS", 2000},
@@ -275,11 +266,6 @@
     return at_ms;
 }
 
-auto stage::remove_entry(const searcher_process& searcher) -> void {
-    remove("servers/" + searcher.id);
-    record("store removed " + searcher.id);
-}
-
 auto stage::make_leaving(const searcher_process& searcher) -> void {
     (void)call(searcher.address, "GET /control/leave HTTP/1.1\r\nHost: searcher\r\n\r\n");
 }
--- a/review/standins/stage.hpp
+++ b/review/standins/stage.hpp
@@ -10,7 +10,6 @@
 
 #include "child_process.hpp"
 #include "eelgrassledge/proxy/http_connection.hpp"
-#include "silent_proxy.hpp"
 
 namespace eelgrassledge::review {
 
@@ -28,8 +27,6 @@
     std::string readiness_address;
     std::string settings_path;
     std::string log_path;
-    /// The way to the store; without one, the daemon uses the store's own address.
-    std::unique_ptr<silent_proxy> store_link;
     std::unique_ptr<test::child_process> process;
 };
 
@@ -78,22 +75,16 @@
     auto add_daemon(const std::string& zone) -> daemon_process&;
     /// Starts a daemon with the command of the deploy file.
     auto start_daemon(daemon_process& daemon) -> void;
-    /// Gives the daemon a way of its own to the store, before its start.
-    auto add_store_link(daemon_process& daemon) -> silent_proxy&;
     auto write_settings(const daemon_process& daemon) -> void;
-    /// Bounds that the settings of all daemons state.
-    auto bounds() -> nlohmann::json& { return bounds_; }
 
     auto start_searcher(const std::string& id, const std::string& service, const std::string& zone, int slots,
                         int work_ms) -> searcher_process&;
     /// Writes the searcher's entry and returns the time at which the store has acknowledged it.
     auto beat(searcher_process& searcher, const std::string& state, int warm_up_left_ms = 0) -> double;
-    auto remove_entry(const searcher_process& searcher) -> void;
     auto make_leaving(const searcher_process& searcher) -> void;
 
     /// Writes a key as the operator and returns the time at which the store has acknowledged it.
     auto put(const std::string& key, const std::string& value) -> double;
-    auto remove(const std::string& key) -> void;
     /// Calls `target` of the store's controls, for instance to set a fault.
     auto control_store(const std::string& target, const std::string& body = "") -> void;
 
