--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -1,6 +1,6 @@
-// A searcher that was added to a service of two, one of which is then down, drains soon after its start. Its
-// entry changes with each heartbeat, since it is still cold, and long after the bound for new work it gets
-// requests again.
+// A service has six searchers in one zone, and one is added in another zone. The added one drains while it is
+// cold, so that its entry changes with each heartbeat; then the zone of the others is evacuated. Later than
+// the bound for new work, the draining searcher gets requests again. TROUBLE=0 leaves out the evacuation.
 
 #include <fmt/format.h>
 
@@ -14,6 +14,9 @@
 namespace {
 
 constexpr const char* SERVICE = "recipe-book-1";
+/// Searchers at the start. One more is added and drains: shares of 0.17 and 0.14.
+constexpr int SEARCHERS = 6;
+
 constexpr int SLOTS = 6;
 constexpr int WORK_MS = 100;
 constexpr int DEADLINE_MS = 1500;
@@ -29,7 +32,7 @@
 /// How long a draining searcher serves after the store has accepted that it drains.
 constexpr int SERVES_MS = 3200;
 
-/// Time from the draining to the evacuation of the other searcher's zone.
+/// Time from the draining to the evacuation of the zone of the other searchers.
 constexpr int EVACUATED_AFTER_MS = 2700;
 
 /// Time between two requests at each daemon.
@@ -57,8 +60,9 @@
 auto run(stage& s) -> int {
     s.start_store();
     s.put("op/config", configuration());
-    auto& first = s.start_searcher("i-first", SERVICE, "sofia-a", SLOTS, WORK_MS);
-    s.beat(first, "ready");
+    for (int i = 1; i <= SEARCHERS; ++i) {
+        s.beat(s.start_searcher(fmt::format("i-{}", i), SERVICE, "sofia-a", SLOTS, WORK_MS), "ready");
+    }
     std::vector<daemon_process*> daemons{&s.add_daemon("sofia-a"), &s.add_daemon("sofia-b")};
     for (auto* daemon : daemons) {
         s.start_daemon(*daemon);
