--- a/include/eelgrassledge/routing/directory.hpp
+++ b/include/eelgrassledge/routing/directory.hpp
@@ -28,7 +28,8 @@
     auto configure(directory_limits limits) -> void { limits_ = limits; }
 
     /// Adds or updates an upstream. A record with another start time, address or service than before is a new
-    /// incarnation and replaces the old one.
+    /// incarnation and replaces the old one. An upstream that already drains when it is added gets no new
+    /// work: it may have been forgotten here, or drain since long before this instance learned of it.
     auto announce(const upstream_record& record, time_point now) -> shared_upstream;
 
     /// Records that the entry of an upstream vanished; `may_return` if there was a recent outage of the list.
@@ -50,8 +51,8 @@
     }
     [[nodiscard]] auto size() const -> std::size_t { return by_id_.size(); }
 
-    /// Removes upstreams whose time for new work has ended.
-    auto sweep(time_point now) -> void;
+    /// Removes upstreams whose time for new work has ended, and returns them.
+    auto sweep(time_point now) -> std::vector<shared_upstream>;
 
   private:
     /// An incarnation that said that it leaves.
--- a/src/proxy/forwarder.cpp
+++ b/src/proxy/forwarder.cpp
@@ -366,7 +366,14 @@
 }
 
 auto forwarder::sweep(time_point now) -> void {
-    state_.upstreams().sweep(now);
+    for (const auto& gone : state_.upstreams().sweep(now)) {
+        const auto& record = gone->record();
+        log_(log_level::info, "upstream_forgotten",
+             {{"upstream", record.id.value()},
+              {"service", record.service.value()},
+              {"born_unix_ms", std::to_string(record.born_unix_ms)},
+              {"draining", record.draining ? "yes" : "no"}});
+    }
     peers_.sweep(now);
     suspects_.sweep(now);
     std::erase_if(bad_waits_, [&](const upstream_id& id) { return !state_.upstreams().find(id); });
--- a/src/proxy/forwarding_node.cpp
+++ b/src/proxy/forwarding_node.cpp
@@ -135,6 +135,7 @@
                                {"service", record.service.value()},
                                {"zone", record.zone.value()},
                                {"born_unix_ms", std::to_string(record.born_unix_ms)},
+                               {"draining", record.draining ? "yes" : "no"},
                                {"warm_up_left_ms", std::to_string(record.warm_up_left / milliseconds{1})}};
     if (current != known) {
         log_(log_level::info, "upstream_seen", fields);
--- a/src/routing/directory.cpp
+++ b/src/routing/directory.cpp
@@ -23,6 +23,10 @@
         known = std::make_shared<upstream>(record, now);
         by_id_.emplace(record.id, known);
         by_service_[record.service].push_back(known);
+        if (record.draining) {
+            // The entry does not state since when it drains, so the grace may have passed already.
+            known->leave(now);
+        }
     } else {
         known->announce(record, now);
     }
@@ -85,18 +89,19 @@
     by_id_.erase(found);
 }
 
-auto directory::sweep(time_point now) -> void {
-    std::vector<upstream_id> gone;
+auto directory::sweep(time_point now) -> std::vector<shared_upstream> {
+    std::vector<shared_upstream> gone;
     for (const auto& [id, known] : by_id_) {
         if (known->is_gone(now)) {
-            gone.push_back(id);
+            gone.push_back(known);
         }
     }
-    for (const auto& id : gone) {
-        remove(id);
+    for (const auto& u : gone) {
+        remove(u->id());
     }
     std::erase_if(departures_,
                   [&](const auto& entry) { return now - entry.second.last_seen > DEPARTURE_MEMORY; });
+    return gone;
 }
 
 }  // namespace eelgrassledge
--- a/tests/unit/routing/upstreams.cpp
+++ b/tests/unit/routing/upstreams.cpp
@@ -151,6 +151,29 @@
         d.announce(draining, at_ms(1000));
         CHECK(first->preference_at(at_ms(1500)) == preference::never);
     }
+    // Guards against new work for a draining upstream that was forgotten and whose entry then changed
+    // (review/1).
+    SECTION(
+        "does not let a draining upstream start again when its entry is announced after it was forgotten") {
+        auto draining = make_record("u", "s");
+        draining.draining = true;
+        d.announce(draining, at_ms(0));
+        d.sweep(at_ms(1500));
+        REQUIRE(d.size() == 0);
+        for (auto ms : {1600, 2800, 4000}) {
+            CHECK(d.announce(draining, at_ms(ms))->preference_at(at_ms(ms)) == preference::never);
+            d.sweep(at_ms(ms + 500));
+        }
+        CHECK(d.announce(make_record("u", "s"), at_ms(5000))->preference_at(at_ms(5000)) ==
+              preference::normal);
+    }
+    // Guards against new work after a restart, or a listing from elsewhere, for an upstream that drains
+    // already.
+    SECTION("gives no work to an upstream that drains when it is first seen") {
+        auto draining = make_record("late", "s");
+        draining.draining = true;
+        CHECK(d.announce(draining, at_ms(0))->preference_at(at_ms(0)) == preference::never);
+    }
     SECTION("removes upstreams whose entry vanished once their time for new work has ended") {
         d.vanished(first->id(), false, at_ms(0));
         d.sweep(at_ms(1000));
