What an upstream asked for binds its incarnation after it was forgotten

An upstream that says that it leaves gets work again if it says so to a request that was sent before its entry vanished and came back, or if an earlier incarnation under its id says so later.

Cause: the wait was stored in the upstream object only; a late answer changed the old object, not the one that had replaced it; and the memory of leaving upstreams had one place for each id, whatever the incarnation. It was bounded in time, not in number.

Why this works: wishes are stored by incarnation, apart from the object, applied to each object of the incarnation, and dropped when a wait has passed, 10 minutes after the entry was last announced, or above 4,096.

--- a/include/eelgrassledge/routing/directory.hpp
+++ b/include/eelgrassledge/routing/directory.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <compare>
+#include <map>
 #include <set>
 #include <unordered_map>
 #include <vector>
@@ -39,6 +41,10 @@
     /// leaving grace, even if its entry is announced later as present.
     auto said_leaving(const shared_upstream& u, time_point now) -> void;
 
+    /// Records that an upstream wants no requests from this instance for `wait`; see `upstream::pause`. Binds
+    /// its incarnation even if the entry vanishes and is announced again meanwhile.
+    auto pause(const shared_upstream& u, duration wait, time_point now) -> void;
+
     /// Stops new work for the upstreams of a zone; `restore` allows it again.
     auto evacuate(const zone_id& zone) -> void { evacuated_.insert(zone); }
     auto restore(const zone_id& zone) -> void { evacuated_.erase(zone); }
@@ -55,23 +61,39 @@
     auto sweep(time_point now) -> std::vector<shared_upstream>;
 
   private:
-    /// An incarnation that said that it leaves.
-    struct departure {
-        upstream_record record;
-        /// When it said so, or was announced again after that.
-        time_point last_seen;
+    struct incarnation_key {
+        upstream_id id;
+        std::int64_t born_unix_ms = 0;
+        std::string address;
+        service_id service;
+        auto operator<=>(const incarnation_key&) const = default;
+    };
+
+    /// What an incarnation asked for in its answers. Stored apart from the upstream, which is removed when
+    /// its time for new work has ended, and may be announced again later.
+    struct wish {
+        bool is_leaving = false;
+        time_point paused_until{};
+        /// When the upstream last asked for anything, or was announced again after that.
+        time_point last_seen{};
     };
 
+    static auto key_of(const upstream& u) -> incarnation_key;
     auto remove(const upstream_id& id) -> void;
-    /// Whether a record is of an incarnation that said that it leaves; if so, extends the time for which that
-    /// is remembered.
-    [[nodiscard]] auto has_departed(const upstream_record& record, time_point now) -> bool;
+    /// The known upstream of the same incarnation as `u`; null if there is none. It is another object than
+    /// `u` if `u` was removed and announced again.
+    [[nodiscard]] auto known_as(const upstream& u) const -> shared_upstream;
+    /// The remembered wish of the incarnation of `u`, added if necessary.
+    auto wish_of(const upstream& u, time_point now) -> wish&;
+    /// Applies what the incarnation of `u` asked for earlier, and extends the time for which that is
+    /// remembered.
+    auto apply_wish(upstream& u, time_point now) -> void;
 
     directory_limits limits_;
     std::unordered_map<upstream_id, shared_upstream> by_id_;
     std::unordered_map<service_id, std::vector<shared_upstream>> by_service_;
     std::set<zone_id> evacuated_;
-    std::unordered_map<upstream_id, departure> departures_;
+    std::map<incarnation_key, wish> wishes_;
 };
 
 }  // namespace eelgrassledge
--- a/src/proxy/forwarder_sends.cpp
+++ b/src/proxy/forwarder_sends.cpp
@@ -241,7 +241,7 @@
              {{"upstream", from->id().value()}, {"retry_after", std::string{stated}}});
     }
     if (wait) {
-        from->pause(*wait, now);
+        state_.upstreams().pause(from, *wait, now);
         log_(log_level::info, "upstream_paused",
              {{"upstream", from->id().value()},
               {"for_ms", std::to_string(std::min(*wait, upstream::MAX_PAUSE) / milliseconds{1})}});
--- a/src/routing/directory.cpp
+++ b/src/routing/directory.cpp
@@ -6,9 +6,12 @@
 
 namespace {
 
-/// How long an upstream that said that it leaves is remembered after its entry was last announced. Its entry
-/// may be announced again by a listing after an outage of the store.
-constexpr duration DEPARTURE_MEMORY = std::chrono::minutes{10};
+/// How long a wish of an upstream is remembered after its entry was last announced. Its entry may be
+/// announced again by a listing after an outage of the store.
+constexpr duration WISH_MEMORY = std::chrono::minutes{10};
+
+/// Maximum number of incarnations whose wishes are remembered; the one not seen for longest is dropped first.
+constexpr std::size_t MAX_WISHES = 4096;
 
 auto is_same_incarnation(const upstream_record& a, const upstream_record& b) -> bool {
     return a.born_unix_ms == b.born_unix_ms && a.address == b.address && a.service == b.service;
@@ -30,11 +33,8 @@
     } else {
         known->announce(record, now);
     }
-    if (has_departed(record, now)) {
-        if (!known->has_said_leaving()) {
-            known->said_leaving(now);
-        }
-    } else if (record.draining) {
+    apply_wish(*known, now);
+    if (record.draining) {
         known->leave(now + limits_.leaving_grace);
     } else {
         known->cancel_leave();
@@ -49,21 +49,56 @@
 }
 
 auto directory::said_leaving(const shared_upstream& u, time_point now) -> void {
-    departures_.insert_or_assign(u->id(), departure{u->record(), now});
-    u->said_leaving(now + limits_.leaving_grace);
+    auto until = now + limits_.leaving_grace;
+    wish_of(*u, now).is_leaving = true;
+    u->said_leaving(until);
+    if (auto known = known_as(*u)) {
+        known->said_leaving(until);
+    }
+}
+
+auto directory::pause(const shared_upstream& u, duration wait, time_point now) -> void {
+    u->pause(wait, now);
+    if (auto known = known_as(*u)) {
+        known->pause(wait, now);
+    }
+    auto& asked = wish_of(*u, now);
+    asked.paused_until = std::max(asked.paused_until, u->paused_until());
+}
+
+auto directory::key_of(const upstream& u) -> incarnation_key {
+    const auto& record = u.record();
+    return {record.id, record.born_unix_ms, record.address, record.service};
+}
+
+auto directory::known_as(const upstream& u) const -> shared_upstream {
+    auto known = find(u.id());
+    return known && is_same_incarnation(known->record(), u.record()) ? known : nullptr;
 }
 
-auto directory::has_departed(const upstream_record& record, time_point now) -> bool {
-    auto found = departures_.find(record.id);
-    if (found == departures_.end()) {
-        return false;
+auto directory::wish_of(const upstream& u, time_point now) -> wish& {
+    auto key = key_of(u);
+    if (wishes_.size() >= MAX_WISHES && !wishes_.contains(key)) {
+        wishes_.erase(std::min_element(wishes_.begin(), wishes_.end(), [](const auto& a, const auto& b) {
+            return a.second.last_seen < b.second.last_seen;
+        }));
+    }
+    auto& asked = wishes_[std::move(key)];
+    asked.last_seen = now;
+    return asked;
+}
+
+auto directory::apply_wish(upstream& u, time_point now) -> void {
+    auto found = wishes_.find(key_of(u));
+    if (found == wishes_.end()) {
+        return;
     }
-    if (!is_same_incarnation(found->second.record, record)) {
-        departures_.erase(found);
-        return false;
+    auto& asked = found->second;
+    asked.last_seen = now;
+    u.pause(asked.paused_until - now, now);
+    if (asked.is_leaving && !u.has_said_leaving()) {
+        u.said_leaving(now);
     }
-    found->second.last_seen = now;
-    return true;
 }
 
 auto directory::replicas(const service_id& service) const -> const std::vector<shared_upstream>& {
@@ -99,8 +134,11 @@
     for (const auto& u : gone) {
         remove(u->id());
     }
-    std::erase_if(departures_,
-                  [&](const auto& entry) { return now - entry.second.last_seen > DEPARTURE_MEMORY; });
+    std::erase_if(wishes_, [&](const auto& entry) {
+        const auto& asked = entry.second;
+        auto is_over = !asked.is_leaving && now >= asked.paused_until;
+        return is_over || now - asked.last_seen > WISH_MEMORY;
+    });
     return gone;
 }
 
--- a/tests/unit/routing/upstreams.cpp
+++ b/tests/unit/routing/upstreams.cpp
@@ -73,6 +73,38 @@
         again = d.announce(make_record("u", "s"), at_ms(400'000));
         CHECK(again->preference_at(at_ms(400'000)) == preference::never);
     }
+    // Guards against a wish that is lost because the answer with it arrives at a forgotten object.
+    SECTION("gets none when it says so to a request that was sent before its entry vanished and came back") {
+        auto other = d.announce(make_record("v", "s"), at_ms(0));
+        d.vanished(other->id(), false, at_ms(0));
+        d.sweep(at_ms(1500));
+        auto again = d.announce(make_record("v", "s"), at_ms(1600));
+        REQUIRE(again != other);
+        d.said_leaving(other, at_ms(1700));
+        CHECK(again->preference_at(at_ms(3199)) == preference::leaving);
+        CHECK(again->preference_at(at_ms(3200)) == preference::never);
+    }
+    SECTION("stays known as leaving when an earlier incarnation says so too") {
+        auto restarted = make_record("u", "s");
+        restarted.born_unix_ms = 2;
+        d.said_leaving(d.announce(restarted, at_ms(100)), at_ms(200));
+        d.said_leaving(u, at_ms(300));
+        d.sweep(at_ms(2000));
+        CHECK(d.announce(restarted, at_ms(3000))->preference_at(at_ms(3000)) == preference::never);
+    }
+    SECTION("is remembered among many others, which are bounded in number") {
+        for (int i = 0; i < 5000; ++i) {
+            auto record = make_record("w" + std::to_string(i), "s");
+            d.said_leaving(d.announce(record, at_ms(i)), at_ms(i));
+        }
+        d.sweep(at_ms(10'000));
+        auto preference_of = [&](const std::string& id) {
+            return d.announce(make_record(id, "s"), at_ms(10'000))->preference_at(at_ms(10'000));
+        };
+        CHECK(preference_of("w4999") == preference::never);
+        CHECK(preference_of("w1000") == preference::never);
+        CHECK(preference_of("w100") == preference::normal);
+    }
     SECTION("gets work as a new incarnation after a restart") {
         auto restarted = make_record("u", "s");
         restarted.born_unix_ms = 2;
@@ -85,7 +117,24 @@
 TEST_CASE("an upstream that wants no requests for some time") {
     directory d{{milliseconds{1500}, milliseconds{2300}}};
     auto u = d.announce(make_record("u", "s"), at_ms(0));
-    u->pause(milliseconds{2500}, at_ms(0));
+    d.pause(u, milliseconds{2500}, at_ms(0));
+    // Guards against requests within the wait after the entry lapsed and came back.
+    SECTION("gets none until then when its entry vanishes, is forgotten and comes back") {
+        d.vanished(u->id(), false, at_ms(0));
+        d.sweep(at_ms(1500));
+        REQUIRE(d.size() == 0);
+        auto again = d.announce(make_record("u", "s"), at_ms(1600));
+        REQUIRE(again != u);
+        CHECK(again->preference_at(at_ms(2499)) == preference::never);
+        CHECK(again->preference_at(at_ms(2500)) == preference::normal);
+        d.pause(u, milliseconds{1000}, at_ms(3000));
+        CHECK(again->preference_at(at_ms(3999)) == preference::never);
+    }
+    SECTION("gets requests at once as another incarnation") {
+        auto restarted = make_record("u", "s");
+        restarted.born_unix_ms = 2;
+        CHECK(d.announce(restarted, at_ms(100))->preference_at(at_ms(100)) == preference::normal);
+    }
     SECTION("gets none until then, and stays known") {
         CHECK(u->preference_at(at_ms(0)) == preference::never);
         CHECK(u->preference_at(at_ms(2499)) == preference::never);
