Drop the warm-up share of an upstream together with the upstream

Found while asking what is kept for forgotten upstreams: the share of the warm-up rate of an upstream that vanished while it was cold stayed for ever, since it was only erased at the first send after the warm-up. Each such upstream cost one entry of a map, without a bound.

Test: unit "share of a cold upstream's rate", section "is dropped with its upstream"; without the erasure "10 == 0".

--- a/include/eelgrassledge/routing/routing_state.hpp
+++ b/include/eelgrassledge/routing/routing_state.hpp
@@ -65,6 +65,12 @@
     [[nodiscard]] auto upstreams() -> directory& { return upstreams_; }
     [[nodiscard]] auto zones() -> zone_reachability& { return zones_; }
 
+    /// Removes upstreams whose time for new work has ended, with what is stored for them, and returns them.
+    auto sweep(time_point now) -> std::vector<shared_upstream>;
+
+    /// Number of upstreams for which a share of the warm-up rate is stored.
+    [[nodiscard]] auto cold_shares() const -> std::size_t { return cold_shares_.size(); }
+
     /// Budget of extra sub-requests of a service.
     auto budget(const service_id& service) -> retry_budget& { return budgets_[service]; }
 
--- a/src/routing/routing_state.cpp
+++ b/src/routing/routing_state.cpp
@@ -21,6 +21,14 @@
     return limits;
 }
 
+auto routing_state::sweep(time_point now) -> std::vector<shared_upstream> {
+    auto gone = upstreams_.sweep(now);
+    for (const auto& u : gone) {
+        cold_shares_.erase(u->id());
+    }
+    return gone;
+}
+
 auto routing_state::hedge_delay(const route& r) -> duration {
     auto latest = std::chrono::duration_cast<duration>(r.latency_objective * policy_.max_hedge_share);
     const auto& seen = latencies(r.name);
--- a/tests/unit/routing/upstreams.cpp
+++ b/tests/unit/routing/upstreams.cpp
@@ -295,6 +295,20 @@
         }
         CHECK(most <= RATE + 1);
     }
+    // Guards against shares that are stored for ever for upstreams that vanish while they are cold.
+    SECTION("is dropped with its upstream") {
+        routing_fixture f;
+        service_rule rule{service_id{"s0"}, "/health", 20, 8};
+        for (int i = 0; i < 10; ++i) {
+            auto cold = make_record("cold" + std::to_string(i), "s0");
+            cold.warm_up_left = seconds{60};
+            (void)f.state.admit_cold(*f.state.upstreams().announce(cold, at_ms(0)), &rule, at_ms(0));
+            f.state.upstreams().vanished(cold.id, false, at_ms(0));
+        }
+        CHECK(f.state.cold_shares() == 10);
+        f.state.sweep(at_ms(1500));
+        CHECK(f.state.cold_shares() == 0);
+    }
     SECTION("follows a rise of the number of instances at once and a fall later") {
         instance_population population;
         population.observe(9, at_ms(0));
