Count the crash of an upstream that was forgotten before it started again

What callers saw or might see: a request that crashes upstreams is sent on more often than it should, if the crashes fall into an outage of the store.

Cause: the entry lapses during the outage, which proves nothing, as it may return; the upstream is forgotten 2.3 s later; and its next incarnation was then an unknown upstream, not a restart. The sends that wait for the proof of a crash know the start time, so that it can be told from them.

Test: unit "requests that crash upstreams", section "are suspected when another incarnation starts after the crashed one was forgotten"; with the comparison of start times turned round "0 == 2" strikes and not refused. Not seen in a run of the daemon.

--- a/include/eelgrassledge/routing/crash_suspects.hpp
+++ b/include/eelgrassledge/routing/crash_suspects.hpp
@@ -82,6 +82,10 @@
     /// runs under its id. Confirms the stored sends to it.
     auto crashed(const upstream_id& id, time_point now) -> void;
 
+    /// Records that an upstream runs that was started at `born_unix_ms`. Confirms the stored sends to other
+    /// incarnations of it, which the directory may have forgotten.
+    auto started(const upstream_id& id, std::int64_t born_unix_ms, time_point now) -> void;
+
     /// Records that an upstream of a service answered the request with success.
     auto succeeded(fingerprint print, const service_id& service) -> void;
 
@@ -121,6 +125,8 @@
     [[nodiscard]] static auto is_confirmed(const suspicion& known) -> bool;
 
     auto add_unconfirmed(const unconfirmed_send& kept) -> void;
+    /// Turns the stored sends that match into strikes.
+    auto confirm_sends(const std::function<bool(const suspect_send&)>& matches, time_point now) -> void;
     auto report_event(std::string_view event, const unconfirmed_send& send, std::string_view reason) const
         -> void;
 
--- a/src/proxy/forwarding_node.cpp
+++ b/src/proxy/forwarding_node.cpp
@@ -129,6 +129,8 @@
     auto current = forwarder_.state().upstreams().announce(record, now);
     if (known && current != known) {
         forwarder_.suspects().crashed(record.id, now);
+    } else if (!known) {
+        forwarder_.suspects().started(record.id, record.born_unix_ms, now);
     }
     auto fields =
         std::vector<log_field>{{"upstream", record.id.value()},
--- a/src/routing/crash_suspects.cpp
+++ b/src/routing/crash_suspects.cpp
@@ -102,12 +102,23 @@
 }
 
 auto crash_suspects::crashed(const upstream_id& id, time_point now) -> void {
+    confirm_sends([&](const suspect_send& sent) { return sent.to == id; }, now);
+}
+
+auto crash_suspects::started(const upstream_id& id, std::int64_t born_unix_ms, time_point now) -> void {
+    confirm_sends(
+        [&](const suspect_send& sent) { return sent.to == id && sent.born_unix_ms != born_unix_ms; }, now);
+}
+
+auto crash_suspects::confirm_sends(const std::function<bool(const suspect_send&)>& matches, time_point now)
+    -> void {
     std::vector<unconfirmed_send> confirmed;
     std::erase_if(unconfirmed_, [&](const unconfirmed_send& send) {
-        if (send.sent.to == id) {
+        auto is_confirmed = matches(send.sent);
+        if (is_confirmed) {
             confirmed.push_back(send);
         }
-        return send.sent.to == id;
+        return is_confirmed;
     });
     for (const auto& send : confirmed) {
         report_event("strike_proved", send, "upstream crashed");
--- a/tests/unit/routing/crash_suspects.cpp
+++ b/tests/unit/routing/crash_suspects.cpp
@@ -56,6 +56,17 @@
         suspects.crashed(upstream_id{"u1"}, at_ms(20'001));
         CHECK(found.size() == 1);
     }
+    // Guards against a crash that is not counted because its upstream was forgotten during a store outage.
+    SECTION("are suspected when another incarnation starts after the crashed one was forgotten") {
+        suspects.connection_broke(send("r1", "u1"), at_ms(0));
+        suspects.abandoned(send("r2", "u2"), at_ms(0));
+        suspects.started(upstream_id{"u1"}, 0, at_ms(4000));
+        CHECK(found.empty());
+        suspects.started(upstream_id{"u1"}, 4000, at_ms(4000));
+        suspects.started(upstream_id{"u2"}, 4000, at_ms(4000));
+        CHECK(found.size() == 2);
+        CHECK(suspects.is_refused(poison, at_ms(4001)));
+    }
     SECTION("are suspected when abandoned shortly before an unresponsive upstream is found to have crashed") {
         suspects.abandoned(send("r1", "u1"), at_ms(0));
         suspects.abandoned(send("r2", "u2"), at_ms(0));
