eelgrassledged: bound the memory of all responses of a libcurl loop

Now the calls of a loop share an answer_memory; heads are limited to 64 KiB a call, interim responses included, and responses to polls and cancellations to 64 KiB. A response that was given up is never taken as complete.

--- a/daemon/main.cpp
+++ b/daemon/main.cpp
@@ -3,6 +3,7 @@
 #include <iostream>
 
 #include "eelgrassledge/config/text_file.hpp"
+#include "eelgrassledge/core/allocator.hpp"
 #include "eelgrassledge/runtime/application.hpp"
 #include "http_server.hpp"
 #include "json_log.hpp"
@@ -122,6 +123,7 @@
 }  // namespace
 
 auto main(int argc, char** argv) -> int {
+    return_large_buffers_to_system();
     auto options = make_options();
     try {
         auto parsed = options.parse(argc, argv);
--- a/src/transport/curl_request.cpp
+++ b/src/transport/curl_request.cpp
@@ -1,6 +1,7 @@
 #include "curl_request.hpp"
 
 #include <algorithm>
+#include <charconv>
 
 namespace eelgrassledge {
 
@@ -8,6 +9,9 @@
 
 constexpr long CONNECT_TIMEOUT_MS = 1000;
 
+/// Maximum size of the heads of a response, in bytes.
+constexpr std::size_t MAX_HEAD_BYTES = std::size_t{64} << 10U;
+
 auto deliver_lines(response_sink& sink) -> bool {
     std::size_t begin = 0;
     for (auto end = sink.response.body.find('\n'); end != std::string::npos;
@@ -27,6 +31,12 @@
     if (sink.response.body.size() > sink.limit) {
         return 0;
     }
+    if (sink.share) {
+        sink.share->update(sink.response.body.capacity(), sink.stated_length);
+        if (sink.share->is_given_up()) {
+            return 0;
+        }
+    }
     if (sink.on_line != nullptr && !deliver_lines(sink)) {
         return 0;
     }
@@ -45,17 +55,33 @@
     return chunk.size();
 }
 
+/// Value of a header line without surrounding blanks, if the line is a header of this name.
+auto value_of(std::string_view line, std::string_view name) -> std::optional<std::string_view> {
+    if (line.size() <= name.size() || line[name.size()] != ':' ||
+        curl_strnequal(line.data(), name.data(), name.size()) == 0) {
+        return std::nullopt;
+    }
+    auto value = line.substr(name.size() + 1);
+    auto begin = value.find_first_not_of(' ');
+    auto end = value.find_last_not_of("\r\n ");
+    return begin == std::string_view::npos ? std::string_view{} : value.substr(begin, end - begin + 1);
+}
+
 auto on_header(char* data, std::size_t size, std::size_t count, void* user) -> std::size_t {
-    constexpr std::string_view RETRY_AFTER = "retry-after:";
     std::string_view line{data, size * count};
-    if (line.size() > RETRY_AFTER.size() &&
-        curl_strnequal(line.data(), RETRY_AFTER.data(), RETRY_AFTER.size()) != 0) {
-        auto value = line.substr(RETRY_AFTER.size());
-        auto begin = value.find_first_not_of(' ');
-        auto end = value.find_last_not_of("\r\n ");
-        *static_cast<std::string*>(user) = begin == std::string_view::npos
-                                               ? std::string{}
-                                               : std::string{value.substr(begin, end - begin + 1)};
+    auto& sink = *static_cast<response_sink*>(user);
+    sink.head_bytes += line.size();
+    if (sink.head_bytes > MAX_HEAD_BYTES) {
+        return 0;
+    }
+    if (auto wait = value_of(line, "retry-after")) {
+        sink.response.retry_after = std::string{*wait};
+    } else if (auto length = value_of(line, "content-length")) {
+        std::size_t bytes = 0;
+        auto [end, fault] = std::from_chars(length->data(), length->data() + length->size(), bytes);
+        if (fault == std::errc{} && end == length->data() + length->size()) {
+            sink.stated_length = bytes;
+        }
     }
     return size * count;
 }
@@ -96,7 +122,7 @@
     curl_easy_setopt(handle, CURLOPT_WRITEFUNCTION, on_body);
     curl_easy_setopt(handle, CURLOPT_WRITEDATA, &sink);
     curl_easy_setopt(handle, CURLOPT_HEADERFUNCTION, on_header);
-    curl_easy_setopt(handle, CURLOPT_HEADERDATA, &sink.response.retry_after);
+    curl_easy_setopt(handle, CURLOPT_HEADERDATA, &sink);
     curl_easy_setopt(handle, CURLOPT_NOSIGNAL, 1L);
     curl_easy_setopt(handle, CURLOPT_TCP_NODELAY, 1L);
     curl_easy_setopt(handle, CURLOPT_PROXY, "");
@@ -122,6 +148,11 @@
         result.reason = curl_easy_strerror(code);
         return result;
     }
+    if (sink.share && sink.share->is_given_up()) {
+        result.failure = http_failure::bad_response;
+        result.reason = "response too large beside the others in progress";
+        return result;
+    }
     long status = 0;
     curl_easy_getinfo(handle, CURLINFO_RESPONSE_CODE, &status);
     result.response = std::move(sink.response);
--- a/src/transport/curl_request.hpp
+++ b/src/transport/curl_request.hpp
@@ -3,7 +3,9 @@
 #include <curl/curl.h>
 
 #include <memory>
+#include <optional>
 
+#include "eelgrassledge/core/answer_memory.hpp"
 #include "eelgrassledge/transport/http_call.hpp"
 
 namespace eelgrassledge {
@@ -19,6 +21,12 @@
     bool body_may_be_sent = false;  ///< Whether any of the body may have been sent.
     http_response response;
     std::size_t limit = 0;
+    /// Bytes of all heads received, those of interim responses included.
+    std::size_t head_bytes = 0;
+    /// Length of the body, if the response states it.
+    std::optional<std::size_t> stated_length;
+    /// Memory of the body, if it is limited together with that of other calls.
+    std::optional<answer_share> share;
     const std::function<bool(std::string_view)>* on_line = nullptr;
 };
 
--- a/src/transport/http_loop.cpp
+++ b/src/transport/http_loop.cpp
@@ -136,6 +136,7 @@
 
     auto begin(std::unique_ptr<call> started) -> void {
         auto* handle = take_handle();
+        started->sink.share.emplace(answers, [&body = started->sink.response.body] { body = {}; });
         started->sockets = &sockets;
         curl_easy_setopt(handle, CURLOPT_OPENSOCKETFUNCTION, on_open_socket);
         curl_easy_setopt(handle, CURLOPT_OPENSOCKETDATA, started.get());
@@ -195,6 +196,8 @@
         return handle;
     }
 
+    /// Memory of the answers of all calls. Declared before the calls, which hold shares of it.
+    answer_memory answers;
     idle_sockets sockets;
     CURLM* multi;
     command_queue<command> commands;
--- a/src/transport/upstream_client.cpp
+++ b/src/transport/upstream_client.cpp
@@ -10,6 +10,8 @@
 constexpr duration CANCEL_TIMEOUT = milliseconds{1000};
 /// Larger answers of an upstream are rejected.
 constexpr std::size_t MAX_ANSWER_BYTES = std::size_t{8} << 20U;
+/// The same for an answer to a poll or to a cancellation, which states a few numbers.
+constexpr std::size_t MAX_STATUS_BYTES = std::size_t{64} << 10U;
 
 /// Random start value for wire ids, so that the ids of two processes do not collide.
 auto first_wire_id() -> std::uint64_t {
@@ -88,8 +90,9 @@
         return;
     }
     auto body = "{\"sub_id\":" + std::to_string(sent->id.value()) + "}";
-    loop_.start({"POST", "http://" + address + "/cancel", std::move(body), {}, CANCEL_TIMEOUT}, false,
-                [](const http_result&) {});
+    loop_.start(
+        {"POST", "http://" + address + "/cancel", std::move(body), {}, CANCEL_TIMEOUT, MAX_STATUS_BYTES},
+        false, [](const http_result&) {});
 }
 
 auto upstream_client::close_idle(const std::string& address) -> void {
@@ -97,7 +100,7 @@
 }
 
 auto upstream_client::poll(const std::string& address, poll_done done) -> void {
-    loop_.start({"GET", "http://" + address + "/status", "", {}, POLL_TIMEOUT}, false,
+    loop_.start({"GET", "http://" + address + "/status", "", {}, POLL_TIMEOUT, MAX_STATUS_BYTES}, false,
                 [done = std::move(done)](const http_result& result) {
                     auto answered = result.failure == http_failure::none && result.response.status == 200;
                     done(answered ? decode_upstream_status(result.response.body) : std::nullopt);
