A call that waits here for a connection is no sign of a silent zone

What callers saw in a test: while another instance sent endless answers, 1 to 3 of 40 sound requests were refused at once with 216, since the zone of that instance was taken for silent (zone_silent, "no confirmation or answer in time").

Cause: calls above the 64 connections to an instance wait in this process. When they timed out they counted as unanswered attempts to the zone, and so did calls that the instance had confirmed.

Why this works: a call that was never sent ends as not taken, so that its shards are asked directly, and says nothing about the zone; one that was confirmed says nothing either.

--- a/include/eelgrassledge/proxy/connection_pool.hpp
+++ b/include/eelgrassledge/proxy/connection_pool.hpp
@@ -46,7 +46,8 @@
     auto send(request r) -> void;
 
     /// Removes a queued request, or closes the connection of a running one. Its `on_done` is not called.
-    auto cancel(attempt_id attempt) -> void;
+    /// Returns whether the request was still queued, so that nothing of it was sent.
+    auto cancel(attempt_id attempt) -> bool;
 
     /// Sets the maximum number of connections. Running requests above it are not interrupted.
     auto limit(std::size_t connections) -> void { limit_ = connections; }
--- a/include/eelgrassledge/proxy/peer_calls.hpp
+++ b/include/eelgrassledge/proxy/peer_calls.hpp
@@ -61,6 +61,8 @@
         std::string address;
         std::shared_ptr<asio::steady_timer> timer;
         completion_handler on_done;
+        /// Whether the other instance has confirmed the call.
+        bool is_confirmed = false;
     };
 
     auto pool_of(const std::string& address) -> connection_pool&;
--- a/src/proxy/connection_pool.cpp
+++ b/src/proxy/connection_pool.cpp
@@ -112,12 +112,12 @@
     start_queued();
 }
 
-auto connection_pool::cancel(attempt_id attempt) -> void {
+auto connection_pool::cancel(attempt_id attempt) -> bool {
     auto queued =
         std::find_if(queue_.begin(), queue_.end(), [&](const request& r) { return r.attempt == attempt; });
     if (queued != queue_.end()) {
         queue_.erase(queued);
-        return;
+        return true;
     }
     auto found = std::find_if(busy_.begin(), busy_.end(),
                               [&](const busy_connection& b) { return b.attempt == attempt; });
@@ -126,6 +126,7 @@
         busy_.erase(found);
         start_queued();
     }
+    return false;
 }
 
 auto connection_pool::close_idle(time_point now) -> void {
--- a/src/proxy/peer_calls.cpp
+++ b/src/proxy/peer_calls.cpp
@@ -30,12 +30,15 @@
         }
     };
     timer->async_wait(on_time);
-    calls_.emplace(id, running_call{o.to.peer_address, timer, std::move(o.on_done)});
+    calls_.emplace(id, running_call{o.to.peer_address, timer, std::move(o.on_done), false});
     connection_pool::request call;
     call.attempt = id;
     call.fresh_connection = o.fresh_connection;
     call.bytes = [bytes = std::move(o.bytes)] { return bytes; };
-    call.on_interim = [timer, on_time, within = o.answer_within] {
+    call.on_interim = [this, id, timer, on_time, within = o.answer_within] {
+        if (auto found = calls_.find(id); found != calls_.end()) {
+            found->second.is_confirmed = true;
+        }
         timer->expires_after(within);
         timer->async_wait(on_time);
     };
@@ -57,10 +60,18 @@
     if (found == calls_.end()) {
         return;
     }
-    pool_of(found->second.address).cancel(call);
+    auto was_queued = pool_of(found->second.address).cancel(call);
     peer_call_result result;
-    result.answer.reason = "no confirmation or answer in time";
-    result.answer.reachability = remote_reachability::unresponsive;
+    if (was_queued) {
+        // Says nothing about the instance: all connections to it were in use.
+        result.end = peer_call_end::not_taken;
+        result.answer.end = exchange_end::not_connected;
+        result.answer.reason = "no free connection in time";
+    } else {
+        result.answer.reason = "no confirmation or answer in time";
+        result.answer.reachability =
+            found->second.is_confirmed ? remote_reachability::unknown : remote_reachability::unresponsive;
+    }
     finish(call, std::move(result));
 }
 
