--- a/include/eelgrassledge/core/answer_memory.hpp
+++ b/include/eelgrassledge/core/answer_memory.hpp
@@ -12,9 +12,9 @@
 /// Bounds the memory of the answers that one event loop is receiving, or passing on, at the same time.
 ///
 /// When the sum exceeds the limit, answers are given up until it does not. The answers considered are those
-/// being received that/// that hold at least half of the average; among them, the one expected to become
-/// largest is given up first, where an answer without a stated length counts as the largest. Small answers
-/// are never given up, so that answers without an end cost only each other.
+/// being received that hold at least half of the average. Among them, the one expected to become largest is
+/// given up first, where an answer without a stated length counts as the largest. Small answers are never
+/// given up, so that answers without an end cost only each other.
 ///
 /// Not synchronized. An update takes logarithmic time unless the limit is exceeded; giving up an answer is
 /// linear in the number of answers that are not small.
--- a/src/transport/curl_request.cpp
+++ b/src/transport/curl_request.cpp
@@ -62,8 +62,9 @@
         return std::nullopt;
     }
     auto value = line.substr(name.size() + 1);
-    auto begin = value.find_first_not_of(' ');
-    auto end = value.find_last_not_of("\r\n ");
+    constexpr std::string_view BLANKS = "\r\n ";
+    auto begin = value.find_first_not_of(BLANKS);
+    auto end = value.find_last_not_of(BLANKS);
     return begin == std::string_view::npos ? std::string_view{} : value.substr(begin, end - begin + 1);
 }
 
