--- a/include/eelgrassledge/routing/directory.hpp
+++ b/include/eelgrassledge/routing/directory.hpp
@@ -66,6 +66,7 @@
         std::int64_t born_unix_ms = 0;
         std::string address;
         service_id service;
+        // NOLINTNEXTLINE(modernize-*)
         auto operator<=>(const incarnation_key&) const = default;
     };
 
