--- a/include/eelgrassledge/core/ids.hpp
+++ b/include/eelgrassledge/core/ids.hpp
@@ -22,6 +22,9 @@
 /// Name of a caller, looked up by the key that is sent with a request.
 using caller_id = strong_type<struct caller_id_tag, std::string>;
 
+/// Name of a team: a group of callers with common keys, priority and quota.
+using team_id = strong_type<struct team_id_tag, std::string>;
+
 /// Request id chosen by the caller and returned in every answer.
 using request_id = strong_type<struct request_id_tag, std::string>;
 
--- a/include/eelgrassledge/core/result_code.hpp
+++ b/include/eelgrassledge/core/result_code.hpp
@@ -33,6 +33,8 @@
     not_found = 117,
     crashed_upstreams = 118,
     no_route = 119,
+    quota_exceeded = 120,
+    quota_unavailable = 121,
 
     queue_expired = 201,
     not_owner = 202,
