Teams with keys, and quotas that hold over all instances

A configuration with teams is served: keys are looked up by their digests, the team's name replaces the key on every way to an upstream, and priorities of teams go before those of routes. Quotas are split over the zones; one instance of each zone, which owns a key in the store, grants its shares.

--- a/include/eelgrassledge/proxy/caller_answers.hpp
+++ b/include/eelgrassledge/proxy/caller_answers.hpp
@@ -23,18 +23,23 @@
     std::string part_signatures;
     /// Number of shards that are missing from a merged answer.
     std::string missing_parts;
+    /// Name of the caller's team; set by this program only.
+    std::string team;
 };
 
 /// Whether the upstream that sent these headers says that it is leaving.
 [[nodiscard]] auto is_leaving(const std::vector<http_header>& headers, const forwarding_headers& names)
     -> bool;
 
-/// HTTP status of an answer that this instance creates itself. 503 guarantees that the request has not run
-/// and will not run; 502 and 504 guarantee nothing.
+/// HTTP status of an answer that this instance creates itself. 429 and 503 guarantee that the request has not
+/// run and will not run; 502 and 504 guarantee nothing.
 [[nodiscard]] auto status_of(result_code code) -> int;
 
+/// Whether a request that ends with `code` without an upstream's answer is guaranteed not to have run.
+[[nodiscard]] auto is_not_run(result_code code) -> bool;
+
 /// Answer for a request that ended with `code` without an upstream's answer. A header holds the number of the
-/// code. With status 503, `Retry-After` holds `retry_after` in seconds.
+/// code. With status 429 or 503, `Retry-After` holds `retry_after` in seconds.
 [[nodiscard]] auto error_response(result_code code, duration retry_after) -> outbound_response;
 
 /// Answer for a caller's query: the upstream's reply if there is one, otherwise an error response or the
--- a/include/eelgrassledge/proxy/forwarder.hpp
+++ b/include/eelgrassledge/proxy/forwarder.hpp
@@ -15,6 +15,7 @@
 #include "eelgrassledge/proxy/peer_calls.hpp"
 #include "eelgrassledge/routing/crash_suspects.hpp"
 #include "eelgrassledge/routing/gather_placement.hpp"
+#include "eelgrassledge/routing/quota_decision.hpp"
 #include "eelgrassledge/routing/stop_schedule.hpp"
 #include "eelgrassledge/runtime/event_log.hpp"
 
@@ -43,6 +44,24 @@
     /// it, if it is malformed or the configuration versions of the two instances differ.
     auto handle_for_peer(const shared_session& session, inbound_request request) -> void;
 
+    /// Sets the hooks that decide whether requests are within their teams' quotas, and that take back a grant
+    /// whose request did not run. Without them quotas are not limited.
+    auto limit_quotas(quota_gate ask, std::function<void(const team&)> returned) -> void {
+        quota_gate_ = std::move(ask);
+        quota_returned_ = std::move(returned);
+    }
+
+    /// What the head of a request alone shows.
+    struct head_check {
+        /// `ok`, or why the request is refused.
+        result_code code = result_code::ok;
+        const route* matched = nullptr;
+        /// Team of the caller; null if it needs none.
+        const team* sender = nullptr;
+    };
+    /// Checks a request by its head: configuration, request id, route and key.
+    [[nodiscard]] auto check_head(const inbound_request& head) const -> head_check;
+
     /// Makes `table` the table in force unless its version is not newer than the current one. Returns whether
     /// it did.
     auto apply_route_table(shared_route_table table) -> bool;
@@ -93,9 +112,29 @@
         std::unique_ptr<connection_pool> connections;
     };
 
+    /// Request that is checked but not started yet.
+    struct admission {
+        shared_session session;
+        inbound_request request;
+        request_id id;
+        fingerprint request_fingerprint;
+        query_setup setup;
+    };
+
+    /// The caller's team, null if it needs none; nothing if its key is missing or unknown.
+    [[nodiscard]] auto identify_team(const std::vector<http_header>& headers, const route& r) const
+        -> std::optional<const team*>;
+    /// Starts the request once its team's quota allows it, else refuses it.
+    auto ask_quota(admission waiting) -> void;
+    auto admit(admission waiting) -> void;
+    /// Returns the grant of a request that did not run; none is needed for a team without a quota.
+    auto return_grant(const team* sender) -> void;
+    auto count_for_team(const team& sender, int status) -> void;
+
     /// `Retry-After` of a refusal with `code`.
     [[nodiscard]] auto retry_after(result_code code) const -> duration;
-    auto refuse(const shared_session& session, const request_id& id, result_code code) -> void;
+    auto refuse(const shared_session& session, const request_id& id, result_code code,
+                const team* sender = nullptr, std::optional<duration> wait = std::nullopt) -> void;
     /// Refuses the request if it is quarantined as a suspect; returns whether it is.
     auto refuse_if_suspect(const shared_session& session, fingerprint request_fingerprint,
                            const request_id& id) -> bool;
@@ -160,6 +199,10 @@
     gather_placement placement_;
     peer_calls peers_;
     crash_suspects suspects_;
+    quota_gate quota_gate_;
+    std::function<void(const team&)> quota_returned_;
+    /// Teams that have metrics of their own.
+    std::set<team_id> teams_counted_;
     std::unordered_map<query_number, running_query> queries_;
     /// Next wake-up of every query, earliest first.
     std::set<std::pair<time_point, query_number>> wakeups_;
--- a/include/eelgrassledge/proxy/forwarding_node.hpp
+++ b/include/eelgrassledge/proxy/forwarding_node.hpp
@@ -6,6 +6,7 @@
 
 #include "eelgrassledge/proxy/feed_source.hpp"
 #include "eelgrassledge/proxy/forwarder.hpp"
+#include "eelgrassledge/proxy/quota_exchange.hpp"
 #include "eelgrassledge/proxy/store_follower.hpp"
 #include "eelgrassledge/proxy/strike_exchange.hpp"
 
@@ -28,6 +29,7 @@
     duration max_update_delay = seconds{3};
     /// Prefix of the store keys that hold strikes, that is, records of requests that crash upstreams.
     std::string strike_prefix;
+    quota_settings quota;
 };
 
 /// One instance that forwards requests: its listeners, its forwarder, its view of upstreams, instances and
@@ -67,6 +69,13 @@
     /// Removes the strike that the store held under `key`.
     auto strike_removed(const std::string& key) -> void;
 
+    /// Records the allocator of a zone's quota shares that the store holds under the key of the zone.
+    auto allocator_stored(const zone_id& zone, const std::string& value) -> void;
+    auto allocator_removed(const zone_id& zone) -> void;
+    /// The lease of this instance's registration was granted or renewed by a call that began at `asked`.
+    auto lease_renewed(lease_id lease, time_point asked) -> void;
+    auto lease_lost() -> void;
+
     /// Starts a graceful shutdown: reports not ready at once, answers the running requests within the stop
     /// grace, then calls `on_stopped`. Later calls have no effect.
     auto begin_stop(std::function<void()> on_stopped) -> void;
@@ -100,6 +109,7 @@
     feed_server feed_server_;
     std::unique_ptr<feed_source> source_;
     std::unique_ptr<strike_exchange> strikes_;
+    std::unique_ptr<quota_exchange> quotas_;
     std::unique_ptr<watched_store> followed_store_;
     std::unique_ptr<store_follower> follower_;
     asio::steady_timer ticks_;
--- a/include/eelgrassledge/proxy/instance_registration.hpp
+++ b/include/eelgrassledge/proxy/instance_registration.hpp
@@ -2,6 +2,7 @@
 
 #include <asio/io_context.hpp>
 #include <asio/steady_timer.hpp>
+#include <functional>
 #include <string>
 
 #include "eelgrassledge/proxy/watched_store.hpp"
@@ -17,6 +18,17 @@
     instance_registration(asio::io_context& loop, const watched_store& store, std::string key,
                           std::string value, duration min_time_to_live, event_log log);
 
+    /// Sets hooks that are called when the lease was granted or renewed, with the time at which the call
+    /// began, and when it was lost.
+    auto on_lease(std::function<void(lease_id, time_point asked)> renewed, std::function<void()> lost)
+        -> void {
+        renewed_ = std::move(renewed);
+        lost_ = std::move(lost);
+    }
+
+    /// Time to live of the lease at a store that grants none below `min_time_to_live`.
+    [[nodiscard]] static auto lease_time(duration min_time_to_live) -> duration;
+
     auto start() -> void { request_lease(); }
 
     /// Revokes the lease, so that other instances see at once that this one leaves.
@@ -37,6 +49,8 @@
     asio::steady_timer timer_;
     lease_id lease_;
     bool leaving_ = false;
+    std::function<void(lease_id, time_point)> renewed_;
+    std::function<void()> lost_;
 };
 
 }  // namespace eelgrassledge
--- a/include/eelgrassledge/proxy/store_replica.hpp
+++ b/include/eelgrassledge/proxy/store_replica.hpp
@@ -38,6 +38,9 @@
     [[nodiscard]] auto has_changes_after(mod_revision seen) const -> bool { return current_ > seen; }
     [[nodiscard]] auto current() const -> mod_revision { return current_; }
 
+    /// Revision at which a key was last changed; zero if it does not exist.
+    [[nodiscard]] auto revision_of(const std::string& key) const -> mod_revision;
+
     /// Time since the moment up to which every change is known to have been applied.
     [[nodiscard]] auto age(time_point now) const -> duration { return now - confirmed_; }
 
--- a/include/eelgrassledge/proxy/watched_store.hpp
+++ b/include/eelgrassledge/proxy/watched_store.hpp
@@ -42,8 +42,8 @@
 
 /// Asynchronous interface to the platform's key-value service, one hook for each call. Each hook calls its
 /// `done` exactly once, later, on the event loop. Errors are `store_unavailable` (the call had no effect),
-/// `store_unclear` (a write may have taken effect or may yet do so), `store_bad_answer`, `store_history_lost`
-/// and `store_not_found`.
+/// `store_unclear` (a write may have taken effect or may yet do so), `store_bad_answer`,
+/// `store_history_lost`, `store_conflict` and `store_not_found`.
 struct watched_store {
     template <class T>
     using done = std::function<void(result<T>)>;
@@ -65,6 +65,12 @@
     /// Writes a key unconditionally and attaches it to a lease.
     std::function<void(const std::string& key, const std::string& value, lease_id lease, done<bool>)> put;
 
+    /// Writes a key and attaches it to a lease if the key's revision is `expected`, which is zero for a key
+    /// that must not exist; `store_conflict` otherwise.
+    std::function<void(const std::string& key, const std::string& value, lease_id lease,
+                       mod_revision expected, done<bool>)>
+        put_if;
+
     /// Ends a lease, which removes its keys.
     std::function<void(lease_id lease, done<bool>)> revoke;
 };
--- a/include/eelgrassledge/routing/load_shedder.hpp
+++ b/include/eelgrassledge/routing/load_shedder.hpp
@@ -30,15 +30,15 @@
     /// Whether so many queries are refused that extra sub-requests would take capacity from other queries.
     [[nodiscard]] auto is_shedding(time_point now) const -> bool;
 
-    /// Whether to admit a query. `sample` is uniformly distributed from zero to one. Urgent queries are
-    /// refused at most half as often as others.
-    [[nodiscard]] auto admits(bool urgent, double sample, time_point now) const -> bool;
+    /// Whether to admit a query. `urgency` is zero for the least urgent queries and one for the most urgent;
+    /// these are admitted up to twice as often. `sample` is uniformly distributed from zero to one.
+    [[nodiscard]] auto admits(double urgency, double sample, time_point now) const -> bool;
 
     /// Additional wait to propose to a refused caller. It grows as the admitted share decreases, and is half
-    /// as long for an urgent query so that urgent queries are retried first. `sample` is uniformly
-    /// distributed from zero to one and adds jitter; otherwise callers that were refused together would also
-    /// retry together.
-    [[nodiscard]] auto extra_wait(bool urgent, double sample, time_point now) const -> duration;
+    /// as long for the most urgent queries so that they are retried first. `sample` is uniformly distributed
+    /// from zero to one and adds jitter; otherwise callers that were refused together would also retry
+    /// together.
+    [[nodiscard]] auto extra_wait(double urgency, double sample, time_point now) const -> duration;
 
   private:
     /// Admitted share at `changed_`.
--- a/include/eelgrassledge/routing/quota_decision.hpp
+++ b/include/eelgrassledge/routing/quota_decision.hpp
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <string_view>
 
 #include "eelgrassledge/core/time.hpp"
 #include "eelgrassledge/routing/team.hpp"
@@ -15,6 +16,19 @@
     unavailable,  ///< No allocator could be asked, so nothing is known.
 };
 
+/// Name of the verdict for logs, metrics and messages.
+[[nodiscard]] constexpr auto to_string(quota_verdict verdict) -> std::string_view {
+    switch (verdict) {
+        case quota_verdict::granted:
+            return "granted";
+        case quota_verdict::denied:
+            return "denied";
+        case quota_verdict::unavailable:
+            break;
+    }
+    return "unavailable";
+}
+
 struct quota_decision {
     quota_verdict verdict = quota_verdict::unavailable;
     /// With `denied`: time until the team may expect a grant.
--- a/include/eelgrassledge/routing/route_table.hpp
+++ b/include/eelgrassledge/routing/route_table.hpp
@@ -10,6 +10,7 @@
 
 #include "eelgrassledge/core/ids.hpp"
 #include "eelgrassledge/core/time.hpp"
+#include "eelgrassledge/routing/team.hpp"
 
 namespace eelgrassledge {
 
@@ -55,6 +56,8 @@
     /// Services over which requests are split by weight; empty for a route with `gather`.
     std::vector<weighted_service> targets;
     std::optional<gather_rule> gather;
+    /// Whether its requests need no key.
+    bool is_public = false;
 };
 
 /// Properties of a service that the operators configure.
@@ -80,6 +83,8 @@
     config_version version;
     std::vector<route> routes;
     std::vector<service_rule> services;
+    /// Empty optional when callers need no keys.
+    std::optional<std::vector<team>> teams;
     caller_limits limits;
 };
 
@@ -98,18 +103,42 @@
     /// and its case are ignored. Complexity: linear in the number of slashes of the path.
     [[nodiscard]] auto find(std::string_view host, std::string_view path) const -> const route*;
 
-    /// Whether another route over the same shards is less urgent. Constant time.
-    [[nodiscard]] auto is_urgent(const route& r) const -> bool;
+    /// Whether callers need keys.
+    [[nodiscard]] auto has_teams() const -> bool { return content_.teams.has_value(); }
+
+    /// Whether any team has a quota.
+    [[nodiscard]] auto has_quotas() const -> bool { return has_quotas_; }
+
+    /// The team that a key belongs to; null when no team has it. Constant time.
+    [[nodiscard]] auto team_of(const key_digest& key) const -> const team*;
+    /// The team of this name; null when there is none. Constant time.
+    [[nodiscard]] auto team_named(const team_id& name) const -> const team*;
+
+    /// Urgency of a request, from zero for the least urgent requests over the same shards to one for the most
+    /// urgent. Requests are ordered by the priority of the team, then by the rank of the route. Logarithmic
+    /// time.
+    [[nodiscard]] auto urgency(const route& r, const team* sender) const -> double;
 
     /// The rule of a service; null when the configuration does not name it. Constant time.
     [[nodiscard]] auto service(const service_id& name) const -> const service_rule*;
 
   private:
+    auto index_teams() -> void;
+
     route_table_content content_;
     std::unordered_map<std::string, std::size_t> by_host_and_prefix_;
     std::unordered_map<service_id, std::size_t> by_service_;
-    /// Rank of the least urgent route over a set of shards, keyed by the first shard of the set.
-    std::unordered_map<service_id, std::uint32_t> least_urgent_;
+    /// Uses a part of the digest, which is distributed uniformly.
+    struct digest_hash {
+        auto operator()(const key_digest& key) const -> std::size_t;
+    };
+    std::unordered_map<key_digest, std::size_t, digest_hash> by_key_;
+    std::unordered_map<team_id, std::size_t> by_team_;
+    /// Priorities of the teams, ascending, each once; never empty.
+    std::vector<std::uint32_t> team_priorities_;
+    bool has_quotas_ = false;
+    /// Ranks of the routes over a set of shards, ascending, each once; keyed by the first shard of the set.
+    std::unordered_map<service_id, std::vector<std::uint32_t>> ranks_;
 };
 
 using shared_route_table = std::shared_ptr<const route_table>;
--- a/include/eelgrassledge/routing/routed_query.hpp
+++ b/include/eelgrassledge/routing/routed_query.hpp
@@ -148,6 +148,8 @@
 struct query_setup {
     shared_route_table table;
     const route* matched = nullptr;
+    /// Team of the caller; null if it needs none.
+    const team* sender = nullptr;
     time_point received;
     /// When the caller stops waiting.
     time_point caller_deadline;
@@ -241,6 +243,7 @@
     };
 
     [[nodiscard]] auto is_idempotent() const -> bool;
+    [[nodiscard]] auto urgency() const -> double;
     [[nodiscard]] auto required_parts() const -> std::size_t;
     [[nodiscard]] auto choose_shards() -> std::vector<shard_state>;
     [[nodiscard]] auto is_admitted(time_point now, query_actions& out) -> bool;
--- a/include/eelgrassledge/routing/routing_state.hpp
+++ b/include/eelgrassledge/routing/routing_state.hpp
@@ -115,7 +115,8 @@
     auto admit_cold(const upstream& u, const service_rule* rule, time_point now) -> bool;
 
     /// Wait that is proposed to a caller whose request on a route is refused with `code`.
-    [[nodiscard]] auto retry_after(result_code code, const route& r, bool urgent, time_point now) -> duration;
+    [[nodiscard]] auto retry_after(result_code code, const route& r, double urgency, time_point now)
+        -> duration;
 
     /// A random number in [0, 1).
     [[nodiscard]] auto random() -> double { return random_(); }
--- a/src/proxy/caller_answers.cpp
+++ b/src/proxy/caller_answers.cpp
@@ -9,7 +9,10 @@
 /// Header with the number of the result code, set on error responses.
 constexpr std::string_view CODE_HEADER = "X-Eelgrassledge-Code";
 
-/// Status that guarantees that the request has not run.
+constexpr int UNAUTHORIZED = 401;
+
+/// Statuses that guarantee that the request has not run.
+constexpr int TOO_MANY_REQUESTS = 429;
 constexpr int NOT_RUN_STATUS = 503;
 
 auto joined(const std::vector<std::string>& items) -> std::string {
@@ -33,6 +36,11 @@
             return 400;
         case result_code::no_route:
             return 404;
+        case result_code::unknown_caller:
+            return UNAUTHORIZED;
+        case result_code::quota_exceeded:
+            return TOO_MANY_REQUESTS;
+        case result_code::quota_unavailable:
         case result_code::no_configuration:
         case result_code::overloaded:
         case result_code::quarantined:
@@ -47,11 +55,19 @@
     }
 }
 
+auto is_not_run(result_code code) -> bool {
+    auto status = status_of(code);
+    return code != result_code::ok && (status == NOT_RUN_STATUS || status == TOO_MANY_REQUESTS);
+}
+
 auto error_response(result_code code, duration retry_after) -> outbound_response {
     outbound_response response;
     response.status = status_of(code);
     response.headers.push_back({std::string{CODE_HEADER}, std::to_string(static_cast<int>(code))});
-    if (response.status == NOT_RUN_STATUS) {
+    if (response.status == UNAUTHORIZED) {
+        response.headers.push_back({"WWW-Authenticate", "Bearer"});
+    }
+    if (is_not_run(code)) {
         auto wait_s = std::chrono::duration<double>(retry_after).count();
         response.headers.push_back({"Retry-After", fmt::format("{:.2f}", wait_s)});
     }
--- a/src/proxy/forwarder.cpp
+++ b/src/proxy/forwarder.cpp
@@ -3,7 +3,6 @@
 #include <fmt/format.h>
 
 #include <algorithm>
-#include <boost/container_hash/hash.hpp>
 #include <random>
 
 #include "eelgrassledge/proxy/peer_protocol.hpp"
@@ -12,28 +11,11 @@
 
 namespace {
 
-/// Timeout of requests that state no deadline, on routes without a timeout.
-constexpr duration DEFAULT_TIMEOUT = seconds{10};
-
-/// Upper limit of `Retry-After` while an instance has no configuration yet.
-constexpr duration MAX_START_RETRY_AFTER = seconds{1};
-
 auto make_random() -> std::function<double()> {
     auto engine = std::make_shared<std::minstd_rand>(std::random_device{}());
     return [engine] { return std::uniform_real_distribution<double>{}(*engine); };
 }
 
-/// Hash of the parts of a request that are equal in all of the caller's attempts.
-auto fingerprint_of(const inbound_request& request) -> fingerprint {
-    std::size_t seed = 0;
-    boost::hash_combine(seed, request.method);
-    boost::hash_combine(seed, request.target);
-    boost::hash_combine(seed, std::string{header_value(request.headers, "host")});
-    boost::hash_combine(seed, request.body);
-    // Drops one bit so that the value fits into a signed 64-bit integer.
-    return fingerprint{seed >> 1U};
-}
-
 }  // namespace
 
 forwarder::forwarder(network_context& network, forwarder_settings settings, event_log log, metrics& counters)
@@ -56,129 +38,6 @@
     return true;
 }
 
-auto forwarder::deadline_of(const inbound_request& request, const route& r) const -> time_point {
-    auto timeout = r.timeout.count() > 0 ? r.timeout : DEFAULT_TIMEOUT;
-    auto stated_ms = to_whole_number(header_value(request.headers, settings_.headers.time_left), -1);
-    return monotonic_now() + (stated_ms >= 0 ? duration{milliseconds{stated_ms}} : timeout);
-}
-
-auto forwarder::handle(const shared_session& session, inbound_request request) -> void {
-    auto now = monotonic_now();
-    request_id id{std::string{header_value(request.headers, settings_.headers.request_id)}};
-    if (!table_) {
-        refuse(session, id, result_code::no_configuration);
-        return;
-    }
-    if (id.value().empty()) {
-        refuse(session, id, result_code::malformed_request);
-        return;
-    }
-    const auto* r = table_->find(header_value(request.headers, "host"), request.target);
-    if (r == nullptr) {
-        refuse(session, id, result_code::no_route);
-        return;
-    }
-    auto request_fingerprint = fingerprint_of(request);
-    if (refuse_if_suspect(session, request_fingerprint, id)) {
-        return;
-    }
-    auto deadline = deadline_of(request, *r);
-    if (stop_ && !stop_->admits(*r, deadline, now)) {
-        refuse(session, id, result_code::stopping);
-        return;
-    }
-    query_setup setup;
-    setup.table = table_;
-    setup.matched = r;
-    setup.received = now;
-    setup.caller_deadline = deadline;
-    setup.round_trip_time = session->network_time();
-    if (r->gather) {
-        setup.groups = placement_.plan(*r->gather, instances_, now);
-    }
-    start_query(session, std::move(request), id, request_fingerprint, std::move(setup));
-}
-
-auto forwarder::handle_for_peer(const shared_session& session, inbound_request request) -> void {
-    auto now = monotonic_now();
-    request_id id{std::string{header_value(request.headers, settings_.headers.request_id)}};
-    auto asked = extract_peer_query(request.headers);
-    const route* r = nullptr;
-    // Shards are identified by their positions, which may differ between configuration versions.
-    if (table_ && asked && asked->version == table_->version()) {
-        r = table_->find(header_value(request.headers, "host"), request.target);
-    }
-    if (r == nullptr || !r->gather || id.value().empty() ||
-        asked->shards.back() >= r->gather->shards.size() ||
-        (stop_ && !stop_->admits(*r, deadline_of(request, *r), now))) {
-        log_(log_level::info, "peer_query_not_taken",
-             {{"request_id", id.value()},
-              {"asked_version", std::to_string(asked ? asked->version.value() : 0)},
-              {"config_version", std::to_string(table_ ? table_->version().value() : 0)},
-              {"stopping", stop_ ? "yes" : "no"}});
-        session->respond(peer_not_taken());
-        return;
-    }
-    auto request_fingerprint = fingerprint_of(request);
-    if (suspects_.is_refused(request_fingerprint, now)) {
-        log_refused_suspect(id, request_fingerprint);
-        query_answer refused;
-        refused.code = result_code::quarantined;
-        session->respond(to_peer_response(refused));
-        return;
-    }
-    session->send_interim();
-    query_setup setup;
-    setup.table = table_;
-    setup.matched = r;
-    setup.received = now;
-    setup.caller_deadline = deadline_of(request, *r);
-    setup.only_shards = std::move(asked->shards);
-    setup.answer_by = now + asked->answer_in;
-    start_query(session, std::move(request), id, request_fingerprint, std::move(setup));
-}
-
-// While there is no configuration, proposes the time since the start: if the start is slow, because the store
-// is slow or many instances start at once, it is likely to take about as long again, and a caller with a
-// single retry would waste it by retrying immediately.
-auto forwarder::retry_after(result_code code) const -> duration {
-    auto configured = settings_.policy.retry_after;
-    if (code == result_code::stopping) {
-        // Other instances can serve the request at once.
-        return {};
-    }
-    if (code != result_code::no_configuration) {
-        return configured;
-    }
-    return std::clamp<duration>(monotonic_now() - started_, configured, MAX_START_RETRY_AFTER);
-}
-
-auto forwarder::refuse(const shared_session& session, const request_id& id, result_code code) -> void {
-    auto response = error_response(code, retry_after(code));
-    log_(log_level::info, "refused",
-         {{"request_id", id.value()},
-          {"status", std::to_string(response.status)},
-          {"reason", std::string{describe(code).name}},
-          {"config_version", std::to_string(table_ ? table_->version().value() : 0)}});
-    counters_.count("eelgrassledge_refusals_total", {{"reason", std::string{describe(code).name}}});
-    session->respond(response);
-}
-
-auto forwarder::refuse_if_suspect(const shared_session& session, fingerprint request_fingerprint,
-                                  const request_id& id) -> bool {
-    if (!suspects_.is_refused(request_fingerprint, monotonic_now())) {
-        return false;
-    }
-    log_refused_suspect(id, request_fingerprint);
-    refuse(session, id, result_code::quarantined);
-    return true;
-}
-
-auto forwarder::log_refused_suspect(const request_id& id, fingerprint request_fingerprint) const -> void {
-    log_(log_level::warning, "suspect_refused",
-         {{"request_id", id.value()}, {"fingerprint", fmt::format("{:016x}", request_fingerprint.value())}});
-}
-
 auto forwarder::start_query(const shared_session& session, inbound_request request, const request_id& id,
                             fingerprint request_fingerprint, query_setup setup) -> void {
     auto number = next_query_++;
@@ -188,13 +47,20 @@
     query.request_fingerprint = request_fingerprint;
     query.is_head_request = request.method == "HEAD";
     query.head = request.method + ' ' + request.target + " HTTP/1.1\r\n";
+    auto is_replaced = [&](const std::string& name) {
+        return equal_ignoring_case(name, settings_.headers.time_left) ||
+               equal_ignoring_case(name, settings_.headers.expected_upstream) ||
+               (setup.table->has_teams() && (equal_ignoring_case(name, "authorization") ||
+                                             equal_ignoring_case(name, settings_.headers.team)));
+    };
     for (const auto& header : without_connection_headers(request.headers)) {
-        auto is_set_per_send = equal_ignoring_case(header.name, settings_.headers.time_left) ||
-                               equal_ignoring_case(header.name, settings_.headers.expected_upstream);
-        if (!is_set_per_send) {
+        if (!is_replaced(header.name)) {
             query.head += header.name + ": " + header.value + "\r\n";
         }
     }
+    if (setup.sender != nullptr) {
+        query.head += settings_.headers.team + ": " + setup.sender->name.value() + "\r\n";
+    }
     auto has_body = !request.body.empty() || (request.method != "GET" && request.method != "HEAD");
     if (has_body) {
         query.head += fmt::format("Content-Length: {}\r\n", request.body.size());
@@ -261,6 +127,13 @@
     auto response =
         for_peer ? to_peer_response(answer) : to_caller_response(answer, query.id, settings_.headers);
     log_answer(query, answer, response.status);
+    const auto* sender = query.decisions->setup().sender;
+    if (!for_peer && sender != nullptr) {
+        count_for_team(*sender, response.status);
+        if (!answer.reply && is_not_run(answer.code)) {
+            return_grant(sender);
+        }
+    }
     query.session->respond(response);
 }
 
@@ -273,17 +146,20 @@
     }
     // Failures are logged as warnings, for which the log reserves capacity, so that many ordinary lines do
     // not displace them.
-    log_(answer.code == result_code::ok ? log_level::info : log_level::warning, "answered",
-         {{"request_id", query.id.value()},
-          {"route", setup.matched->name},
-          {"config_version", std::to_string(setup.table->version().value())},
-          {"status", std::to_string(status)},
-          {"code", std::string{describe(answer.code).name}},
-          {"took_ms", fmt::format("{:.1f}", to_milliseconds(took))},
-          {"shards", std::to_string(query.decisions->shard_count())},
-          {"sends", std::to_string(query.decisions->send_count())},
-          {"upstreams", query.decisions->upstreams_tried()},
-          {"missing", missing}});
+    std::vector<log_field> fields{{"request_id", query.id.value()},
+                                  {"route", setup.matched->name},
+                                  {"config_version", std::to_string(setup.table->version().value())},
+                                  {"status", std::to_string(status)},
+                                  {"code", std::string{describe(answer.code).name}},
+                                  {"took_ms", fmt::format("{:.1f}", to_milliseconds(took))},
+                                  {"shards", std::to_string(query.decisions->shard_count())},
+                                  {"sends", std::to_string(query.decisions->send_count())},
+                                  {"upstreams", query.decisions->upstreams_tried()},
+                                  {"missing", missing}};
+    if (setup.sender != nullptr) {
+        fields.push_back({"team", setup.sender->name.value()});
+    }
+    log_(answer.code == result_code::ok ? log_level::info : log_level::warning, "answered", fields);
     counters_.count("eelgrassledge_answers_total", {{"code", std::string{describe(answer.code).name}}});
     observe_stages(setup.matched->name, answer, took);
 }
--- a/src/proxy/forwarding_node.cpp
+++ b/src/proxy/forwarding_node.cpp
@@ -40,6 +40,8 @@
                      feed_server_.handle(s, r);
                  } else if (strike_exchange::is_report(r) && strikes_) {
                      strikes_->handle(s, r);
+                 } else if (quota_exchange::is_quota_request(r) && quotas_) {
+                     quotas_->handle(s, r);
                  } else if (is_probe(r)) {
                      s->respond({204, {}, ""});
                  } else {
@@ -97,6 +99,14 @@
         answer.recent_outage = source_->had_recent_outage(monotonic_now());
         answer.strikes = strikes_->unstored();
     });
+    quotas_ = std::make_unique<quota_exchange>(
+        network_, store, settings_.quota, forwarder_.instances(),
+        [this]() -> const shared_route_table& { return forwarder_.table(); }, log_, counters_);
+    forwarder_.limit_quotas(
+        [this](const team& sender, std::function<void(quota_decision)> on_decision) {
+            quotas_->ask(sender, std::move(on_decision));
+        },
+        [this](const team& sender) { quotas_->returned(sender); });
     followed_store_ = std::make_unique<watched_store>(source_->hooks());
     follower_ = std::make_unique<store_follower>(
         network_.loop, *followed_store_, "", settings_.max_update_delay, replica_, std::move(updates),
@@ -171,6 +181,23 @@
 
 auto forwarding_node::mark_listing_complete() -> void {
     upstreams_known_ = true;
+    quotas_->listed();
+}
+
+auto forwarding_node::allocator_stored(const zone_id& zone, const std::string& value) -> void {
+    quotas_->key_changed(zone, value, replica_.revision_of(settings_.quota.key_prefix + zone.value()));
+}
+
+auto forwarding_node::allocator_removed(const zone_id& zone) -> void {
+    quotas_->key_removed(zone);
+}
+
+auto forwarding_node::lease_renewed(lease_id lease, time_point asked) -> void {
+    quotas_->lease_renewed(lease, asked);
+}
+
+auto forwarding_node::lease_lost() -> void {
+    quotas_->lease_lost();
 }
 
 auto forwarding_node::store_was_unavailable(time_point now) const -> bool {
@@ -224,6 +251,9 @@
     callers_.close_after_answers(true);
     peers_.close_after_answers(true);
     forwarder_.begin_stop(*stop_);
+    if (quotas_) {
+        quotas_->stop();
+    }
     // A timer of its own: the ticks are too far apart to be sure of the grace period.
     stop_timer_.expires_after(stop_->last_exit() - stop_started_);
     stop_timer_.async_wait([this](const asio::error_code& cancelled) {
@@ -286,6 +316,7 @@
     if (source_) {
         source_->sweep(now);
         strikes_->sweep(now);
+        quotas_->tick(now);
     }
     update_instance_count();
     if (stop_) {
--- a/src/proxy/http_parsers.cpp
+++ b/src/proxy/http_parsers.cpp
@@ -2,6 +2,8 @@
 
 #include <http_parser.h>
 
+#include <algorithm>
+
 namespace eelgrassledge {
 
 namespace {
@@ -64,6 +66,11 @@
         return 1;
     }
 
+    /// Fields after the body of a request are discarded: they must not replace headers that decide about it.
+    [[nodiscard]] auto is_in_trailers() const -> bool {
+        return parser.type == HTTP_REQUEST && state == parse_state::body;
+    }
+
     static auto on_url(http_parser* p, const char* at, std::size_t length) -> int {
         self(p).target.append(at, length);
         return self(p).count_head_bytes(length);
@@ -71,6 +78,9 @@
 
     static auto on_header_field(http_parser* p, const char* at, std::size_t length) -> int {
         auto& me = self(p);
+        if (me.is_in_trailers()) {
+            return me.count_head_bytes(length);
+        }
         if (me.in_value || me.headers.empty()) {
             me.headers.emplace_back();
             me.in_value = false;
@@ -81,6 +91,9 @@
 
     static auto on_header_value(http_parser* p, const char* at, std::size_t length) -> int {
         auto& me = self(p);
+        if (me.is_in_trailers()) {
+            return me.count_head_bytes(length);
+        }
         me.in_value = true;
         me.headers.back().value.append(at, length);
         return me.count_head_bytes(length);
@@ -94,6 +107,12 @@
             me.interim = true;
             return 0;
         }
+        // The HTTP library accepts blanks in names, which upstreams may ignore (RFC 9112, section 5.1).
+        auto has_blank = [](const http_header& header) { return header.name.find(' ') != std::string::npos; };
+        if (p->type == HTTP_REQUEST && std::any_of(me.headers.begin(), me.headers.end(), has_blank)) {
+            me.state = parse_state::malformed;
+            return -1;
+        }
         me.state = parse_state::body;
         me.stated_length = p->content_length;
         me.keep_alive = http_should_keep_alive(p) != 0;
--- a/src/proxy/instance_registration.cpp
+++ b/src/proxy/instance_registration.cpp
@@ -24,10 +24,14 @@
     : store_(store),
       key_(std::move(key)),
       value_(std::move(value)),
-      time_to_live_(std::max(TIME_TO_LIVE, min_time_to_live)),
+      time_to_live_(lease_time(min_time_to_live)),
       log_(std::move(log)),
       timer_(loop) {}
 
+auto instance_registration::lease_time(duration min_time_to_live) -> duration {
+    return std::max(TIME_TO_LIVE, min_time_to_live);
+}
+
 auto instance_registration::schedule(duration wait, void (instance_registration::*step)()) -> void {
     timer_.expires_after(wait);
     timer_.async_wait([this, step](const asio::error_code& cancelled) {
@@ -38,13 +42,17 @@
 }
 
 auto instance_registration::request_lease() -> void {
-    store_.grant(time_to_live_, [this](const result<lease_id>& lease) {
+    auto asked = monotonic_now();
+    store_.grant(time_to_live_, [this, asked](const result<lease_id>& lease) {
         if (!lease) {
             log_(log_level::warning, "lease_not_granted", {{"reason", lease.error().message}});
             schedule(RETRY_PAUSE, &instance_registration::request_lease);
             return;
         }
         lease_ = *lease;
+        if (renewed_) {
+            renewed_(lease_, asked);
+        }
         write_key();
     });
 }
@@ -64,13 +72,20 @@
 }
 
 auto instance_registration::renew_lease() -> void {
-    store_.keep_alive(lease_, [this](const result<bool>& kept) {
+    auto asked = monotonic_now();
+    store_.keep_alive(lease_, [this, asked](const result<bool>& kept) {
         if (kept) {
+            if (renewed_) {
+                renewed_(lease_, asked);
+            }
             schedule(time_to_live_ / RENEWALS_PER_TTL, &instance_registration::renew_lease);
             return;
         }
         if (kept.error().code == result_code::store_not_found) {
             log_(log_level::warning, "instance_lease_lost", {{"lease", std::to_string(lease_.value())}});
+            if (lost_) {
+                lost_();
+            }
             request_lease();
             return;
         }
--- /dev/null
+++ b/src/proxy/quota_exchange.cpp
@@ -0,0 +1,225 @@
+#include "eelgrassledge/proxy/quota_exchange.hpp"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+#include "eelgrassledge/proxy/quota_messages.hpp"
+
+namespace eelgrassledge {
+
+namespace {
+
+/// Timeout of a request to an allocator. Much longer than a round trip between zones, so that an instance
+/// that waits for processor time is not passed over.
+constexpr duration ASK_TIMEOUT = milliseconds{100};
+
+}  // namespace
+
+quota_exchange::quota_exchange(network_context& network, const watched_store& store, quota_settings settings,
+                               const instance_directory& instances, table_source table, event_log log,
+                               metrics& counters)
+    : store_(store),
+      settings_(std::move(settings)),
+      instances_(instances),
+      table_(std::move(table)),
+      log_(std::move(log)),
+      counters_(counters),
+      peers_(network),
+      election_(settings_.election),
+      client_(settings_.own_zone) {}
+
+auto quota_exchange::ask(const team& owner, std::function<void(quota_decision)> on_decision) -> void {
+    if (client_.take_returned(owner.name, monotonic_now())) {
+        on_decision({quota_verdict::granted, {}});
+        return;
+    }
+    advance(std::make_shared<open_inquiry>(open_inquiry{owner, {}, std::move(on_decision)}));
+}
+
+auto quota_exchange::returned(const team& owner) -> void {
+    client_.give_back(owner.name, monotonic_now());
+}
+
+auto quota_exchange::advance(const shared_inquiry& inquiry) -> void {
+    auto now = monotonic_now();
+    auto zone = client_.next_zone(inquiry->owner, settings_.split, inquiry->progress, now);
+    if (!zone) {
+        auto decision = quota_client::conclude(inquiry->progress);
+        counters_.count("eelgrassledge_quota_decisions_total",
+                        {{"verdict", std::string{to_string(decision.verdict)}}});
+        inquiry->on_decision(decision);
+        return;
+    }
+    auto found = owners_.find(*zone);
+    if (found == owners_.end()) {
+        take_answer(inquiry, *zone, {});
+        return;
+    }
+    const auto& id = found->second.id;
+    if (id == settings_.election.self.id) {
+        take_answer(inquiry, *zone, grant_here(inquiry->owner, now));
+        return;
+    }
+    auto others = instances_.others();
+    auto allocator = std::find_if(others.begin(), others.end(),
+                                  [&](const instance_record& record) { return record.id == id; });
+    if (allocator == others.end() || !instances_.is_usable(id, now)) {
+        take_answer(inquiry, *zone, {});
+        return;
+    }
+    ask_peer(inquiry, *zone, *allocator);
+}
+
+auto quota_exchange::ask_peer(const shared_inquiry& inquiry, const zone_id& zone,
+                              const instance_record& allocator) -> void {
+    peer_calls::order call;
+    call.call = attempt_id{next_call_++};
+    call.to = allocator;
+    call.bytes = to_bytes(make_quota_request(allocator.peer_address, inquiry->owner.name));
+    call.confirm_within = ASK_TIMEOUT;
+    call.answer_within = ASK_TIMEOUT;
+    call.on_done = [this, inquiry, zone](const peer_call_result& reply) {
+        auto decision = reply.end == peer_call_end::answered && reply.answer.status == 200
+                            ? read_quota_answer(reply.answer.headers)
+                            : quota_decision{};
+        take_answer(inquiry, zone, decision);
+    };
+    peers_.start(std::move(call));
+}
+
+auto quota_exchange::take_answer(const shared_inquiry& inquiry, const zone_id& zone,
+                                 const quota_decision& decision) -> void {
+    client_.answered(inquiry->owner, zone, decision, inquiry->progress, monotonic_now());
+    if (decision.verdict != quota_verdict::granted) {
+        advance(inquiry);
+        return;
+    }
+    counters_.count("eelgrassledge_quota_decisions_total", {{"verdict", "granted"}});
+    inquiry->on_decision(decision);
+}
+
+auto quota_exchange::grant_here(const team& owner, time_point now) -> quota_decision {
+    if (!election_.may_grant(now)) {
+        return {};
+    }
+    if (granting_since_ != election_.granting_since()) {
+        granting_since_ = election_.granting_since();
+        allocator_.start(granting_since_);
+    }
+    // The limits of the configuration in force here, which may be newer than the asking instance's.
+    const auto& table = table_();
+    const auto* known = table ? table->team_named(owner.name) : nullptr;
+    if (known == nullptr) {
+        return {};
+    }
+    if (!known->has_quota()) {
+        return {quota_verdict::granted, {}};
+    }
+    return allocator_.ask(*known, share_of(*known, settings_.split, settings_.own_zone), now);
+}
+
+auto quota_exchange::is_quota_request(const inbound_request& request) -> bool {
+    return read_quota_request(request).has_value();
+}
+
+auto quota_exchange::handle(const shared_session& session, const inbound_request& request) -> void {
+    team asked;
+    asked.name = read_quota_request(request).value_or(team_id{});
+    auto decision = grant_here(asked, monotonic_now());
+    counters_.count("eelgrassledge_quota_grants_total",
+                    {{"verdict", std::string{to_string(decision.verdict)}}});
+    session->respond(make_quota_answer(decision));
+}
+
+auto quota_exchange::key_changed(const zone_id& zone, const std::string& value, mod_revision modified)
+    -> void {
+    auto owner = decode_allocator(value);
+    if (!owner) {
+        log_(log_level::warning, "allocator_unreadable",
+             {{"zone", zone.value()}, {"reason", owner.error().message}});
+        return;
+    }
+    log_(log_level::info, "allocator_seen",
+         {{"zone", zone.value()}, {"peer", owner->id.value()}, {"start", std::to_string(owner->number)}});
+    owners_[zone] = *owner;
+    if (zone == settings_.own_zone) {
+        election_.key_seen(*owner, modified, monotonic_now());
+    }
+}
+
+auto quota_exchange::key_removed(const zone_id& zone) -> void {
+    log_(log_level::info, "allocator_gone", {{"zone", zone.value()}});
+    owners_.erase(zone);
+    if (zone == settings_.own_zone) {
+        election_.key_removed(monotonic_now());
+    }
+}
+
+auto quota_exchange::listed() -> void {
+    election_.listed(monotonic_now());
+}
+
+auto quota_exchange::store_restored() -> void {
+    election_.store_restored(monotonic_now());
+}
+
+auto quota_exchange::lease_renewed(lease_id lease, time_point asked) -> void {
+    election_.lease_renewed(lease, asked);
+}
+
+auto quota_exchange::lease_lost() -> void {
+    election_.lease_lost();
+}
+
+auto quota_exchange::stop() -> void {
+    election_.stop();
+}
+
+auto quota_exchange::rank(time_point now) const -> std::size_t {
+    auto candidates = instances_.all_in(settings_.own_zone);
+    const auto& self = instances_.self();
+    auto place = [](const instance_record& record) {
+        return std::tuple{-record.capacity, std::hash<std::string>{}(record.id.value()), record.id};
+    };
+    return static_cast<std::size_t>(
+        std::count_if(candidates.begin(), candidates.end(), [&](const instance_record& record) {
+            return place(record) < place(self) && instances_.is_usable(record.id, now);
+        }));
+}
+
+auto quota_exchange::write_key(const quota_election::write_order& order) -> void {
+    const auto& self = settings_.election.self;
+    store_.put_if(
+        settings_.key_prefix + settings_.own_zone.value(), encode_allocator(self), order.lease,
+        order.expected, [this](const result<bool>& written) {
+            if (!written) {
+                log_(log_level::info, "allocator_not_written", {{"reason", written.error().message}});
+            }
+            election_.written(written.has_value(), monotonic_now());
+        });
+}
+
+auto quota_exchange::log_changes(time_point now) -> void {
+    auto grants = election_.may_grant(now);
+    if (grants != was_granting_) {
+        was_granting_ = grants;
+        log_(log_level::info, grants ? "allocator_begins" : "allocator_ends",
+             {{"zone", settings_.own_zone.value()}, {"teams", std::to_string(allocator_.size())}});
+    }
+}
+
+auto quota_exchange::tick(time_point now) -> void {
+    const auto& table = table_();
+    if (table && table->has_quotas()) {
+        if (auto order = election_.next_write(rank(now), now)) {
+            write_key(*order);
+        }
+    }
+    log_changes(now);
+    allocator_.sweep(now);
+    client_.sweep(now);
+    peers_.sweep(now);
+}
+
+}  // namespace eelgrassledge
--- a/src/proxy/store_replica.cpp
+++ b/src/proxy/store_replica.cpp
@@ -59,6 +59,11 @@
     return removed;
 }
 
+auto store_replica::revision_of(const std::string& key) const -> mod_revision {
+    auto found = entries_.find(key);
+    return found != entries_.end() && found->second.value ? found->second.revision : mod_revision{};
+}
+
 auto store_replica::after(mod_revision seen, time_point now) const -> result<feed_answer> {
     if (!listed_) {
         return fail(result_code::store_unavailable, "the store has not been listed yet");
--- a/src/routing/load_shedder.cpp
+++ b/src/routing/load_shedder.cpp
@@ -27,10 +27,10 @@
 /// Smallest factor by which jitter shortens the additional wait.
 constexpr double MIN_JITTER = 0.5;
 
-/// Factor of the additional wait for urgent queries.
+/// Factor of the additional wait for the most urgent queries.
 constexpr double URGENT_WAIT_FACTOR = 0.5;
 
-/// Factor of the admitted share for urgent queries.
+/// Factor of the admitted share for the most urgent queries.
 constexpr double URGENT_ADMISSION_FACTOR = 2;
 
 }  // namespace
@@ -55,14 +55,14 @@
     return admitted_share(now) < SHEDDING_THRESHOLD;
 }
 
-auto load_shedder::admits(bool urgent, double sample, time_point now) const -> bool {
-    auto share = admitted_share(now) * (urgent ? URGENT_ADMISSION_FACTOR : 1);
+auto load_shedder::admits(double urgency, double sample, time_point now) const -> bool {
+    auto share = admitted_share(now) * (1 + urgency * (URGENT_ADMISSION_FACTOR - 1));
     return sample < share;
 }
 
-auto load_shedder::extra_wait(bool urgent, double sample, time_point now) const -> duration {
+auto load_shedder::extra_wait(double urgency, double sample, time_point now) const -> duration {
     auto jitter = MIN_JITTER + (1 - MIN_JITTER) * sample;
-    auto factor = (1 - admitted_share(now)) * jitter * (urgent ? URGENT_WAIT_FACTOR : 1);
+    auto factor = (1 - admitted_share(now)) * jitter * (1 - urgency * (1 - URGENT_WAIT_FACTOR));
     return std::chrono::duration_cast<duration>(MAX_EXTRA_WAIT * factor);
 }
 
--- a/src/routing/routed_query.cpp
+++ b/src/routing/routed_query.cpp
@@ -43,6 +43,10 @@
     return setup_.matched->repeat == repeat_policy::idempotent;
 }
 
+auto routed_query::urgency() const -> double {
+    return setup_.table->urgency(*setup_.matched, setup_.sender);
+}
+
 auto routed_query::required_parts() const -> std::size_t {
     if (!setup_.matched->gather || !setup_.only_shards.empty()) {
         return 1;
@@ -131,11 +135,10 @@
         return true;
     }
     const auto& shedder = state_.shedder(*r.gather);
-    auto is_urgent = setup_.table->is_urgent(r);
-    if (shedder.admits(is_urgent, state_.random(), now)) {
+    if (shedder.admits(urgency(), state_.random(), now)) {
         return true;
     }
-    out.notes.push_back({"shed", is_urgent ? "urgent" : "not_urgent",
+    out.notes.push_back({"shed", urgency() > 0 ? "urgent" : "not_urgent",
                          fmt::format("admitted_share={:.2f}", shedder.admitted_share(now))});
     return false;
 }
@@ -262,8 +265,7 @@
             }
         }
     }
-    answer.retry_after =
-        state_.retry_after(code, *setup_.matched, setup_.table->is_urgent(*setup_.matched), now);
+    answer.retry_after = state_.retry_after(code, *setup_.matched, urgency(), now);
     if (first_part_at_) {
         answer.first_part_after = *first_part_at_ - setup_.received;
     }
--- a/src/routing/routing_state.cpp
+++ b/src/routing/routing_state.cpp
@@ -124,7 +124,8 @@
     return *last_required;
 }
 
-auto routing_state::retry_after(result_code code, const route& r, bool urgent, time_point now) -> duration {
+auto routing_state::retry_after(result_code code, const route& r, double urgency, time_point now)
+    -> duration {
     if (code == result_code::upstream_unreachable && zones_.is_cut_off(now)) {
         // Before that the load balancer would route the caller to this zone again.
         return std::max(policy_.retry_after, policy_.balancer_delay - zones_.cut_off_for(now));
@@ -133,7 +134,7 @@
         return policy_.retry_after + time_until_served(r, now).value_or(duration{});
     }
     if (code == result_code::overloaded && r.gather) {
-        return policy_.retry_after + shedder(*r.gather).extra_wait(urgent, random_(), now);
+        return policy_.retry_after + shedder(*r.gather).extra_wait(urgency, random_(), now);
     }
     return policy_.retry_after;
 }
--- a/tests/unit/routing/load_shedder.cpp
+++ b/tests/unit/routing/load_shedder.cpp
@@ -10,7 +10,7 @@
 TEST_CASE("a load shedder") {
     load_shedder shedder;
     SECTION("admits all queries before an overload signal") {
-        CHECK(shedder.admits(false, 0.999, at_ms(0)));
+        CHECK(shedder.admits(0, 0.999, at_ms(0)));
         shedder.finished(load_signal::in_time, at_ms(1));
         shedder.finished(load_signal::unclear, at_ms(2));
         CHECK(shedder.admitted_share(at_ms(2)) == 1);
@@ -21,8 +21,8 @@
         }
         auto share = shedder.admitted_share(at_ms(8));
         CHECK(share < 0.5);
-        CHECK_FALSE(shedder.admits(false, 0.5, at_ms(8)));
-        CHECK(shedder.admits(true, 0.5, at_ms(8)));
+        CHECK_FALSE(shedder.admits(0, 0.5, at_ms(8)));
+        CHECK(shedder.admits(1, 0.5, at_ms(8)));
         for (int i = 0; i < 100; ++i) {
             shedder.finished(load_signal::overloaded, at_ms(8));
         }
@@ -41,18 +41,18 @@
         CHECK(idle.admitted_share(at_ms(20'000)) == 1);
     }
     SECTION("proposes longer waits when less is admitted, shorter for urgent queries, with jitter") {
-        CHECK(shedder.extra_wait(false, 0.5, at_ms(0)) == duration{});
+        CHECK(shedder.extra_wait(0, 0.5, at_ms(0)) == duration{});
         shedder.finished(load_signal::overloaded, at_ms(0));
-        auto light = shedder.extra_wait(false, 0.5, at_ms(0));
+        auto light = shedder.extra_wait(0, 0.5, at_ms(0));
         for (int i = 0; i < 8; ++i) {
             shedder.finished(load_signal::overloaded, at_ms(0));
         }
-        auto heavy = shedder.extra_wait(false, 0.5, at_ms(0));
+        auto heavy = shedder.extra_wait(0, 0.5, at_ms(0));
         CHECK(light > duration{});
         CHECK(heavy > 3 * light);
-        CHECK(shedder.extra_wait(true, 0.5, at_ms(0)) < heavy);
-        CHECK(shedder.extra_wait(false, 0.0, at_ms(0)) < heavy);
-        CHECK(shedder.extra_wait(false, 0.99, at_ms(0)) > heavy);
+        CHECK(shedder.extra_wait(1, 0.5, at_ms(0)) < heavy);
+        CHECK(shedder.extra_wait(0, 0.0, at_ms(0)) < heavy);
+        CHECK(shedder.extra_wait(0, 0.99, at_ms(0)) > heavy);
     }
 }
 
