--- a/src/proxy/quota_exchange.cpp
+++ b/src/proxy/quota_exchange.cpp
@@ -217,7 +217,7 @@
         }
     }
     log_changes(now);
-    allocator_.sweep(now);
+    allocator_.sweep(now, settings_.split.window);
     client_.sweep(now);
     peers_.sweep(now);
 }
--- a/src/routing/quota_allocator.cpp
+++ b/src/routing/quota_allocator.cpp
@@ -3,13 +3,20 @@
 #include <algorithm>
 #include <chrono>
 #include <functional>
+#include <numeric>
 
 namespace eelgrassledge {
 
 namespace {
 
-/// Part of the slack that the rounding up of bursts may use; the rest covers delayed messages.
-constexpr double ROUNDING_SHARE_OF_SLACK = 0.5;
+/// Part of the tolerance that the shares use.
+constexpr double USED_TOLERANCE = 0.5;
+
+/// Part of the rate that a new allocator grants during its first window.
+constexpr double FIRST_WINDOW_RATE = 0.5;
+
+/// Windows without a request after which a team is forgotten.
+constexpr int IDLE_WINDOWS = 2;
 
 /// Longest wait that a denial proposes.
 constexpr duration MAX_WAIT = seconds{5};
@@ -28,28 +35,36 @@
     if (!owner.has_quota() || found == split.zones.end()) {
         return {};
     }
+    auto window_s = std::chrono::duration<double>(split.window).count();
+    auto limit = (owner.rate_per_s * window_s + owner.burst) * (1 + USED_TOLERANCE * split.overshoot) +
+                 USED_TOLERANCE * split.slack;
     auto zones = static_cast<double>(split.zones.size());
-    auto burst = std::max(1.0, owner.burst / zones);
-    if (burst * zones - owner.burst <= ROUNDING_SHARE_OF_SLACK * split.slack) {
-        return {owner.rate_per_s / zones, burst};
+    if (limit / zones >= 1) {
+        return {owner.rate_per_s / zones, std::max(1.0, owner.burst / zones), limit / zones, split.window};
     }
     auto only = std::hash<std::string>{}(owner.name.value()) % split.zones.size();
     auto is_only = found - split.zones.begin() == static_cast<std::ptrdiff_t>(only);
-    return is_only ? quota_share{owner.rate_per_s, std::max(1.0, owner.burst)} : quota_share{};
+    return is_only
+               ? quota_share{owner.rate_per_s, std::max(1.0, owner.burst), std::max(1.0, limit), split.window}
+               : quota_share{};
 }
 
 auto quota_allocator::start(time_point now) -> void {
     started_ = now;
-    buckets_.clear();
+    teams_.clear();
 }
 
-auto quota_allocator::refill(bucket& of, time_point now) -> void {
-    of.tokens += of.share.rate_per_s * seconds_between(of.refilled, now);
-    of.tokens = std::min(of.tokens, of.share.burst);
-    of.refilled = std::max(of.refilled, now);
+auto quota_allocator::granted_in_window(team_state& of, duration window, time_point now) -> double {
+    auto slot = now.time_since_epoch() / std::max(duration{1}, window / static_cast<int>(SLOTS));
+    auto passed = std::clamp<std::int64_t>(slot - of.slot, 0, static_cast<std::int64_t>(of.granted.size()));
+    for (std::int64_t i = 1; i <= passed; ++i) {
+        of.granted[static_cast<std::size_t>(slot - passed + i) % of.granted.size()] = 0;
+    }
+    of.slot = std::max(of.slot, slot);
+    return std::accumulate(of.granted.begin(), of.granted.end(), 0.0);
 }
 
-auto quota_allocator::count_denial(bucket& of, time_point now) -> double {
+auto quota_allocator::count_denial(team_state& of, time_point now) -> double {
     if (now - of.counted_since >= COUNTED_SPAN) {
         of.denied_before = now - of.counted_since < 2 * COUNTED_SPAN ? of.denied : 0;
         of.denied = 0;
@@ -60,36 +75,40 @@
     return of.denied + of.denied_before * std::max(0.0, remaining);
 }
 
+auto quota_allocator::limit_at(const quota_share& share, time_point now) const -> double {
+    if (now - started_ >= share.window) {
+        return share.window_limit;
+    }
+    auto since_start = 1 + FIRST_WINDOW_RATE * share.rate_per_s * seconds_between(started_, now);
+    return std::min(share.window_limit, since_start);
+}
+
 auto quota_allocator::ask(const team& owner, const quota_share& share, time_point now) -> quota_decision {
     if (share.is_empty()) {
         return {quota_verdict::denied, MAX_WAIT};
     }
-    auto [place, is_new] = buckets_.try_emplace(owner.name);
+    auto [place, is_new] = teams_.try_emplace(owner.name);
     auto& of = place->second;
-    if (is_new) {
-        of = {1, started_, share, 0, 0, now};
-    }
-    refill(of, now);
-    of.share = share;
-    of.tokens = std::min(of.tokens, share.burst);
-    if (of.tokens >= 1) {
+    // The limit of a whole window, spread evenly.
+    auto rate_per_s = share.window_limit / std::chrono::duration<double>(share.window).count();
+    of.tokens = is_new ? share.burst
+                       : std::min(share.burst, of.tokens + rate_per_s * seconds_between(of.refilled, now));
+    of.refilled = std::max(of.refilled, now);
+    of.used = now;
+    auto granted = granted_in_window(of, share.window, now);
+    if (of.tokens >= 1 && granted + 1 <= limit_at(share, now)) {
         of.tokens -= 1;
+        of.granted[static_cast<std::size_t>(of.slot) % of.granted.size()] += 1;
         return {quota_verdict::granted, {}};
     }
-    auto missing = count_denial(of, now) - of.tokens;
-    auto wait_s = std::min(missing / share.rate_per_s, std::chrono::duration<double>(MAX_WAIT).count());
+    auto wait_s =
+        std::min(count_denial(of, now) / rate_per_s, std::chrono::duration<double>(MAX_WAIT).count());
     return {quota_verdict::denied,
             std::chrono::duration_cast<duration>(std::chrono::duration<double>(wait_s))};
 }
 
-auto quota_allocator::sweep(time_point now) -> void {
-    std::erase_if(buckets_, [&](const auto& entry) {
-        auto of = entry.second;
-        refill(of, now);
-        // A new bucket holds at least as much by then.
-        auto after_start = 1 + of.share.rate_per_s * seconds_between(started_, now);
-        return of.tokens >= of.share.burst && after_start >= of.share.burst;
-    });
+auto quota_allocator::sweep(time_point now, duration window) -> void {
+    std::erase_if(teams_, [&](const auto& entry) { return now - entry.second.used > IDLE_WINDOWS * window; });
 }
 
 }  // namespace eelgrassledge
