Answers with an invalid status count as failures of their upstream

Cause: http-parser accepts 000, 099, 20 and 600, reads 0200 as 200, and takes 101 for an interim answer. The first four reached the caller, 0200 reached it as 200, and 101 was waited for until the deadline (504).

Change: core/status_line checks the status of each answer, interim or final, before the library reads it. It must have three digits and be from 100 to 599, except 101. The parser pauses at the first byte of a status line, so that the check also holds for the line after an interim answer.

--- a/src/proxy/http_parsers.cpp
+++ b/src/proxy/http_parsers.cpp
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 
+#include "eelgrassledge/core/status_line.hpp"
+
 namespace eelgrassledge {
 
 namespace {
@@ -39,9 +41,14 @@
     bool skip_body = false;
     bool keep_alive = false;
     bool interim = false;
+    /// State of the status line that is being received; empty between lines and for requests.
+    std::optional<status_line_check> status_line;
 
     explicit message_collector(http_parser_type type) {
         http_parser_settings_init(&callbacks);
+        if (type == HTTP_RESPONSE) {
+            callbacks.on_message_begin = on_answer_begin;
+        }
         callbacks.on_url = on_url;
         callbacks.on_header_field = on_header_field;
         callbacks.on_header_value = on_header_value;
@@ -71,6 +78,13 @@
         return parser.type == HTTP_REQUEST && state == parse_state::body;
     }
 
+    /// Pauses after the first byte of a status line, so that `feed` knows where the line begins.
+    static auto on_answer_begin(http_parser* p) -> int {
+        self(p).status_line.emplace();
+        http_parser_pause(p, 1);
+        return 0;
+    }
+
     static auto on_url(http_parser* p, const char* at, std::size_t length) -> int {
         self(p).target.append(at, length);
         return self(p).count_head_bytes(length);
@@ -151,7 +165,7 @@
         limits = new_limits;
         begun = true;
         auto began_in_head = state == parse_state::head;
-        auto used = http_parser_execute(&parser, &callbacks, bytes.data(), bytes.size());
+        auto used = execute(bytes);
         auto fault = HTTP_PARSER_ERRNO(&parser);
         if (fault == HPE_PAUSED && state == parse_state::complete) {
             return used;
@@ -165,6 +179,32 @@
         return used;
     }
 
+    /// Passes bytes to the HTTP library and returns the number of bytes consumed. The status of each answer,
+    /// interim or final, is checked before the library reads it.
+    auto execute(std::string_view bytes) -> std::size_t {
+        std::size_t used = 0;
+        while (used < bytes.size()) {
+            auto rest = bytes.substr(used);
+            if (status_line) {
+                auto validity = status_line->feed(rest);
+                if (validity == status_validity::invalid) {
+                    state = parse_state::malformed;
+                    return used;
+                }
+                if (validity == status_validity::valid) {
+                    status_line.reset();
+                }
+            }
+            used += http_parser_execute(&parser, &callbacks, rest.data(), rest.size());
+            auto in_status_line = HTTP_PARSER_ERRNO(&parser) == HPE_PAUSED && state == parse_state::head;
+            if (!in_status_line) {
+                break;
+            }
+            http_parser_pause(&parser, 0);
+        }
+        return used;
+    }
+
     /// Rejects a message whose framing overhead exceeds the limits. All bytes of one call of `feed` count
     /// towards the part, head or body, in which the call began.
     auto limit_framing_overhead() -> void {
