Check the status of responses that libcurl receives

Cause: libcurl accepts 600, reads 200x as 200, and waits for the body of 101 until the time-out. It rejects the other invalid statuses itself, but they counted as broken connections and not as bad responses.

Change: the status line of each response is checked with core/status_line. CURLE_UNSUPPORTED_PROTOCOL, with which libcurl 7.88 reports an invalid status line, counts as a bad response.

--- a/src/transport/curl_request.cpp
+++ b/src/transport/curl_request.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <charconv>
 
+#include "eelgrassledge/core/status_line.hpp"
+
 namespace eelgrassledge {
 
 namespace {
@@ -75,6 +77,10 @@
     if (sink.head_bytes > MAX_HEAD_BYTES) {
         return 0;
     }
+    auto is_status_line = line.starts_with("HTTP/");
+    if (is_status_line && status_line_check{}.feed(line) != status_validity::valid) {
+        return 0;
+    }
     if (auto wait = value_of(line, "retry-after")) {
         sink.response.retry_after = std::string{*wait};
     } else if (auto length = value_of(line, "content-length")) {
@@ -106,6 +112,8 @@
             return http_failure::not_sent;
         case CURLE_WRITE_ERROR:
         case CURLE_WEIRD_SERVER_REPLY:
+        // The status line is invalid; all URLs have a supported scheme.
+        case CURLE_UNSUPPORTED_PROTOCOL:
             return http_failure::bad_response;
         default:
             return http_failure::unclear;
--- a/tests/unit/http_loop.cpp
+++ b/tests/unit/http_loop.cpp
@@ -10,11 +10,12 @@
 
 namespace {
 
-/// HTTP server on loopback that answers each request with an empty body. Requests for `/hold` are answered
-/// only after `release_held`.
+/// HTTP server on loopback that gives the same answer to each request. Requests for `/hold` are answered only
+/// after `release_held`.
 class loopback_server {
   public:
-    loopback_server() {
+    explicit loopback_server(std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+        : answer_(std::move(answer)) {
         accepting_ = std::thread{[this] { accept(); }};
     }
     ~loopback_server() {
@@ -70,8 +71,7 @@
                 return;
             }
             text.clear();
-            asio::write(socket, asio::buffer(std::string{"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"}),
-                        failed);
+            asio::write(socket, asio::buffer(answer_), failed);
             if (is_last) {
                 socket.close(failed);
                 return;
@@ -79,6 +79,7 @@
         }
     }
 
+    std::string answer_;
     asio::io_context io_;
     asio::ip::tcp::acceptor acceptor_{io_, {asio::ip::address_v4::loopback(), 0}};
     std::atomic<int> connections_{0};
@@ -160,3 +161,33 @@
     CHECK(post(second, "/") == http_failure::none);
     loop.stop();
 }
+
+// Guards against responses with statuses that libcurl accepts, such as 600 and 200x, and against a wait for
+// the time-out after 101.
+TEST_CASE("a response with an invalid status is a bad response") {
+    http_loop loop;
+    auto result_of = [&](const std::string& status) {
+        loopback_server server{"HTTP/1.1 " + status + "\r\nContent-Length: 2\r\n\r\nok"};
+        auto result = std::make_shared<std::promise<http_result>>();
+        loop.start({"GET", "http://" + server.address() + "/", "", {}, milliseconds{5000}}, false,
+                   [result](const http_result& r) { result->set_value(r); });
+        auto received = result->get_future().get();
+        loop.close_idle(server.address());
+        return received;
+    };
+    for (const auto* status :
+         {"000 OK", "099 OK", "600 OK", "1000 OK", "2000 OK", "20 OK", "0200 OK", "+200 OK", "-200 OK",
+          "200x OK", "2x0 OK", "", "OK", "101 Switching Protocols"}) {
+        INFO(status);
+        CHECK(result_of(status).failure == http_failure::bad_response);
+    }
+    for (const auto* status : {"200 OK", "200", "503 Busy", "599 Other"}) {
+        INFO(status);
+        auto result = result_of(status);
+        CHECK(result.failure == http_failure::none);
+        CHECK(result.response.body == "ok");
+    }
+    CHECK(result_of("103 Early Hints\r\n\r\nHTTP/1.1 200 OK").response.status == 200);
+    CHECK(result_of("103 Early Hints\r\n\r\nHTTP/1.1 2000 OK").failure == http_failure::bad_response);
+    loop.stop();
+}
