Keep callers from forging team names and messages between instances

Cause: servers that pass headers on as variables take X_Tenant for X-Tenant, and only the latter was removed, also on public routes. A gather route with the prefix / forwards the target /quota to other instances, which took it for a request for a grant: a caller could use up the quota of any team that it named in X-Eelgrassledge-Team. The same target /probe was answered as a probe. A caller's X-Eelgrassledge-Shards came before the instance's own.

Change: headers that differ from the team header only by underscores are removed, and so are callers' headers with the instances' prefix. A request with the headers of a peer query is never another message.

--- a/include/eelgrassledge/proxy/peer_protocol.hpp
+++ b/include/eelgrassledge/proxy/peer_protocol.hpp
@@ -19,9 +19,17 @@
     duration answer_in{};
 };
 
+/// Whether a header name is one of those that instances use between them. A caller's headers of such names
+/// are not passed on.
+[[nodiscard]] auto is_instance_header(std::string_view name) -> bool;
+
 /// Headers that carry a peer query.
 [[nodiscard]] auto to_headers(const peer_query& query) -> std::vector<http_header>;
 
+/// Whether a request has the headers of a peer query. Its target is chosen by the caller, so that it may be
+/// the target of another message between instances.
+[[nodiscard]] auto is_peer_query(const inbound_request& request) -> bool;
+
 /// Reads a peer query and removes its headers from `headers`; empty if a header is missing or malformed.
 [[nodiscard]] auto extract_peer_query(std::vector<http_header>& headers) -> std::optional<peer_query>;
 
--- a/src/proxy/forwarder.cpp
+++ b/src/proxy/forwarder.cpp
@@ -16,6 +16,13 @@
     return [engine] { return std::uniform_real_distribution<double>{}(*engine); };
 }
 
+/// Whether an upstream may take a header name for `wanted`: servers that pass headers on as variables replace
+/// hyphens by underscores.
+auto is_same_to_upstreams(std::string name, std::string_view wanted) -> bool {
+    std::replace(name.begin(), name.end(), '_', '-');
+    return equal_ignoring_case(name, wanted);
+}
+
 }  // namespace
 
 forwarder::forwarder(network_context& network, forwarder_settings settings, event_log log, metrics& counters)
@@ -50,8 +57,9 @@
     auto is_replaced = [&](const std::string& name) {
         return equal_ignoring_case(name, settings_.headers.time_left) ||
                equal_ignoring_case(name, settings_.headers.expected_upstream) ||
+               is_instance_header(name) ||
                (setup.table->has_teams() && (equal_ignoring_case(name, "authorization") ||
-                                             equal_ignoring_case(name, settings_.headers.team)));
+                                             is_same_to_upstreams(name, settings_.headers.team)));
     };
     for (const auto& header : without_connection_headers(request.headers)) {
         if (!is_replaced(header.name)) {
--- a/src/proxy/peer_protocol.cpp
+++ b/src/proxy/peer_protocol.cpp
@@ -6,6 +6,9 @@
 
 namespace {
 
+/// Begins the names of all headers that instances use between them.
+constexpr std::string_view INSTANCE_HEADER_PREFIX = "X-Eelgrassledge-";
+
 /// Version of the configuration in force at the asking instance.
 constexpr std::string_view VERSION_HEADER = "X-Eelgrassledge-Config-Version";
 /// Bitmap of shards by their position in the route's list.
@@ -58,6 +61,14 @@
     return request.target == PROBE_TARGET;
 }
 
+auto is_instance_header(std::string_view name) -> bool {
+    return equal_ignoring_case(name.substr(0, INSTANCE_HEADER_PREFIX.size()), INSTANCE_HEADER_PREFIX);
+}
+
+auto is_peer_query(const inbound_request& request) -> bool {
+    return has_header(request.headers, SHARDS_HEADER);
+}
+
 auto to_bitmap(const std::vector<std::size_t>& positions) -> std::string {
     std::string text;
     for (auto position : positions) {
