State true waits for remembered denials; let returned grants end

Cause: a denial is remembered for at most 1 s, and the rest of that second was stated as Retry-After in place of the allocator's wait of up to 5 s. A grant whose request did not run was kept for 2 s from its last return, so that requests refused in turn kept it alive for as long as an overload lasted, and all such grants could run at its end in addition to the quota. A quarantined request's refusal was logged without its team.

Change: the client remembers the allocator's wait beside the time to ask again, and returned grants keep the time at which they were granted.

--- a/include/eelgrassledge/proxy/forwarder.hpp
+++ b/include/eelgrassledge/proxy/forwarder.hpp
@@ -46,7 +46,7 @@
 
     /// Sets the hooks that decide whether requests are within their teams' quotas, and that take back a grant
     /// whose request did not run. Without them quotas are not limited.
-    auto limit_quotas(quota_gate ask, std::function<void(const team&)> returned) -> void {
+    auto limit_quotas(quota_gate ask, std::function<void(const team&, time_point granted)> returned) -> void {
         quota_gate_ = std::move(ask);
         quota_returned_ = std::move(returned);
     }
@@ -128,7 +128,7 @@
     auto ask_quota(admission waiting) -> void;
     auto admit(admission waiting) -> void;
     /// Returns the grant of a request that did not run; none is needed for a team without a quota.
-    auto return_grant(const team* sender) -> void;
+    auto return_grant(const query_setup& setup) -> void;
     auto count_for_team(const team& sender, int status) -> void;
 
     /// `Retry-After` of a refusal with `code`.
@@ -137,7 +137,7 @@
                 const team* sender = nullptr, std::optional<duration> wait = std::nullopt) -> void;
     /// Refuses the request if it is quarantined as a suspect; returns whether it is.
     auto refuse_if_suspect(const shared_session& session, fingerprint request_fingerprint,
-                           const request_id& id) -> bool;
+                           const request_id& id, const team* sender) -> bool;
     auto log_refused_suspect(const request_id& id, fingerprint request_fingerprint) const -> void;
 
     struct running_send {
@@ -200,7 +200,7 @@
     peer_calls peers_;
     crash_suspects suspects_;
     quota_gate quota_gate_;
-    std::function<void(const team&)> quota_returned_;
+    std::function<void(const team&, time_point granted)> quota_returned_;
     /// Teams that have metrics of their own.
     std::set<team_id> teams_counted_;
     std::unordered_map<query_number, running_query> queries_;
--- a/include/eelgrassledge/proxy/quota_exchange.hpp
+++ b/include/eelgrassledge/proxy/quota_exchange.hpp
@@ -36,8 +36,8 @@
 
     /// Decides about one request of a team with a quota; see `quota_gate`.
     auto ask(const team& owner, std::function<void(quota_decision)> on_decision) -> void;
-    /// Takes back the grant of a request that did not run.
-    auto returned(const team& owner) -> void;
+    /// Takes back the grant of a request that did not run; `granted` is from the decision.
+    auto returned(const team& owner, time_point granted) -> void;
 
     [[nodiscard]] static auto is_quota_request(const inbound_request& request) -> bool;
     /// Answers another instance that asks for a grant.
--- a/include/eelgrassledge/routing/quota_client.hpp
+++ b/include/eelgrassledge/routing/quota_client.hpp
@@ -43,21 +43,28 @@
     /// The decision when no zone is left to ask: denied only if every zone with a share denied.
     [[nodiscard]] static auto conclude(const inquiry& progress) -> quota_decision;
 
-    /// Keeps the grant of a request that did not run for a later request of the team.
-    auto give_back(const team_id& owner, time_point now) -> void;
-    /// Takes such a grant; false if there is none.
-    auto take_returned(const team_id& owner, time_point now) -> bool;
+    /// Keeps the grant of a request that did not run for a later request of the team. `granted` is when the
+    /// allocator's grant was received, also for a grant that was returned before.
+    auto give_back(const team_id& owner, time_point granted, time_point now) -> void;
+    /// Takes such a grant and returns when it was granted; nothing if there is none.
+    auto take_returned(const team_id& owner, time_point now) -> std::optional<time_point>;
 
     /// Forgets teams without recent requests; to be called about once a second.
     auto sweep(time_point now) -> void;
     [[nodiscard]] auto size() const -> std::size_t { return teams_.size(); }
 
   private:
+    /// Remembered denial of a zone.
+    struct denial {
+        /// When to ask again.
+        time_point ask_again;
+        /// When the allocator expects to grant.
+        time_point expected_grant;
+    };
     struct team_state {
         std::optional<zone_id> last_granted;
-        /// Until when a zone's denial is remembered.
-        std::map<zone_id, time_point> denied_until;
-        /// When grants were returned, oldest first.
+        std::map<zone_id, denial> denials;
+        /// When the returned grants were granted, in the order in which they were returned.
         std::deque<time_point> returned;
         time_point used{};
     };
--- a/include/eelgrassledge/routing/quota_decision.hpp
+++ b/include/eelgrassledge/routing/quota_decision.hpp
@@ -33,6 +33,8 @@
     quota_verdict verdict = quota_verdict::unavailable;
     /// With `denied`: time until the team may expect a grant.
     duration wait{};
+    /// With `granted`: when this instance received the grant.
+    time_point granted{};
 };
 
 /// Decides about one request of a team with a quota. Calls its second argument exactly once, possibly before
--- a/include/eelgrassledge/routing/routed_query.hpp
+++ b/include/eelgrassledge/routing/routed_query.hpp
@@ -150,6 +150,8 @@
     const route* matched = nullptr;
     /// Team of the caller; null if it needs none.
     const team* sender = nullptr;
+    /// When the team's quota was granted for it; the default value if it needs none.
+    time_point quota_granted{};
     time_point received;
     /// When the caller stops waiting.
     time_point caller_deadline;
--- a/src/proxy/forwarder.cpp
+++ b/src/proxy/forwarder.cpp
@@ -139,7 +139,7 @@
     if (!for_peer && sender != nullptr) {
         count_for_team(*sender, response.status);
         if (!answer.reply && is_not_run(answer.code)) {
-            return_grant(sender);
+            return_grant(query.decisions->setup());
         }
     }
     query.session->respond(response);
--- a/src/proxy/forwarder_admission.cpp
+++ b/src/proxy/forwarder_admission.cpp
@@ -100,7 +100,7 @@
         return;
     }
     auto request_fingerprint = fingerprint_of(request);
-    if (refuse_if_suspect(session, request_fingerprint, id)) {
+    if (refuse_if_suspect(session, request_fingerprint, id, check.sender)) {
         return;
     }
     query_setup setup;
@@ -131,7 +131,8 @@
     pending->request.session->on_abandoned([pending] { pending->is_abandoned = true; });
     const auto& sender = *pending->request.setup.sender;
     quota_gate_(sender, [this, pending](const quota_decision& decision) {
-        const auto& [session, request, id, print, setup] = pending->request;
+        auto& [session, request, id, print, setup] = pending->request;
+        setup.quota_granted = decision.granted;
         log_(log_level::info, "quota",
              {{"request_id", id.value()},
               {"team", setup.sender->name.value()},
@@ -139,7 +140,7 @@
               {"wait_ms", std::to_string(decision.wait / milliseconds{1})},
               {"took_ms", fmt::format("{:.1f}", to_milliseconds(monotonic_now() - setup.received))}});
         if (decision.verdict == quota_verdict::granted && pending->is_abandoned) {
-            return_grant(setup.sender);
+            return_grant(setup);
         } else if (decision.verdict == quota_verdict::granted) {
             admit(std::move(pending->request));
         } else if (decision.verdict == quota_verdict::denied) {
@@ -155,7 +156,7 @@
     auto now = monotonic_now();
     // The instance may have begun to stop while the quota was checked.
     if (stop_ && !stop_->admits(*setup.matched, setup.caller_deadline, now)) {
-        return_grant(setup.sender);
+        return_grant(setup);
         refuse(waiting.session, waiting.id, result_code::stopping, setup.sender);
         return;
     }
@@ -166,9 +167,9 @@
                 std::move(setup));
 }
 
-auto forwarder::return_grant(const team* sender) -> void {
-    if (sender != nullptr && sender->has_quota() && quota_returned_) {
-        quota_returned_(*sender);
+auto forwarder::return_grant(const query_setup& setup) -> void {
+    if (setup.sender != nullptr && setup.sender->has_quota() && quota_returned_) {
+        quota_returned_(*setup.sender, setup.quota_granted);
     }
 }
 
@@ -254,12 +255,12 @@
 }
 
 auto forwarder::refuse_if_suspect(const shared_session& session, fingerprint request_fingerprint,
-                                  const request_id& id) -> bool {
+                                  const request_id& id, const team* sender) -> bool {
     if (!suspects_.is_refused(request_fingerprint, monotonic_now())) {
         return false;
     }
     log_refused_suspect(id, request_fingerprint);
-    refuse(session, id, result_code::quarantined);
+    refuse(session, id, result_code::quarantined, sender);
     return true;
 }
 
--- a/src/proxy/forwarding_node.cpp
+++ b/src/proxy/forwarding_node.cpp
@@ -108,7 +108,7 @@
         [this](const team& sender, std::function<void(quota_decision)> on_decision) {
             quotas_->ask(sender, std::move(on_decision));
         },
-        [this](const team& sender) { quotas_->returned(sender); });
+        [this](const team& sender, time_point granted) { quotas_->returned(sender, granted); });
     followed_store_ = std::make_unique<watched_store>(source_->hooks());
     follower_ = std::make_unique<store_follower>(
         network_.loop, *followed_store_, "", settings_.max_update_delay, replica_, std::move(updates),
--- a/src/proxy/quota_exchange.cpp
+++ b/src/proxy/quota_exchange.cpp
@@ -30,15 +30,15 @@
       client_(settings_.own_zone) {}
 
 auto quota_exchange::ask(const team& owner, std::function<void(quota_decision)> on_decision) -> void {
-    if (client_.take_returned(owner.name, monotonic_now())) {
-        on_decision({quota_verdict::granted, {}});
+    if (auto granted = client_.take_returned(owner.name, monotonic_now())) {
+        on_decision({quota_verdict::granted, {}, *granted});
         return;
     }
     advance(std::make_shared<open_inquiry>(open_inquiry{owner, {}, std::move(on_decision)}));
 }
 
-auto quota_exchange::returned(const team& owner) -> void {
-    client_.give_back(owner.name, monotonic_now());
+auto quota_exchange::returned(const team& owner, time_point granted) -> void {
+    client_.give_back(owner.name, granted, monotonic_now());
 }
 
 auto quota_exchange::advance(const shared_inquiry& inquiry) -> void {
@@ -90,13 +90,14 @@
 
 auto quota_exchange::take_answer(const shared_inquiry& inquiry, const zone_id& zone,
                                  const quota_decision& decision) -> void {
-    client_.answered(inquiry->owner, zone, decision, inquiry->progress, monotonic_now());
+    auto now = monotonic_now();
+    client_.answered(inquiry->owner, zone, decision, inquiry->progress, now);
     if (decision.verdict != quota_verdict::granted) {
         advance(inquiry);
         return;
     }
     counters_.count("eelgrassledge_quota_decisions_total", {{"verdict", "granted"}});
-    inquiry->on_decision(decision);
+    inquiry->on_decision({quota_verdict::granted, {}, now});
 }
 
 auto quota_exchange::grant_here(const team& owner, time_point now) -> quota_decision {
--- a/src/routing/quota_client.cpp
+++ b/src/routing/quota_client.cpp
@@ -9,7 +9,8 @@
 /// Longest time for which a denial is remembered: an allocator that has room again must be asked soon.
 constexpr duration MAX_DENIAL_MEMORY = seconds{1};
 
-/// How long a returned grant may be used. The limit of a window then moves by at most this time.
+/// How long after it was granted a returned grant may be used. The limit of a window then moves by at most
+/// this time.
 constexpr duration RETURNED_LIFETIME = seconds{2};
 
 /// Most returned grants that are kept for a team.
@@ -29,11 +30,11 @@
         if (is_asked || share_of(owner, split, zone).is_empty()) {
             return false;
         }
-        auto denied = state.denied_until.find(zone);
-        if (denied == state.denied_until.end() || now >= denied->second) {
+        auto denied = state.denials.find(zone);
+        if (denied == state.denials.end() || now >= denied->second.ask_again) {
             return true;
         }
-        auto wait = denied->second - now;
+        auto wait = denied->second.expected_grant - now;
         progress.shortest_wait = std::min(progress.shortest_wait.value_or(wait), wait);
         return false;
     };
@@ -62,10 +63,10 @@
     switch (decision.verdict) {
         case quota_verdict::granted:
             state.last_granted = zone;
-            state.denied_until.erase(zone);
+            state.denials.erase(zone);
             break;
         case quota_verdict::denied:
-            state.denied_until[zone] = now + std::min(decision.wait, MAX_DENIAL_MEMORY);
+            state.denials[zone] = {now + std::min(decision.wait, MAX_DENIAL_MEMORY), now + decision.wait};
             progress.shortest_wait = std::min(progress.shortest_wait.value_or(decision.wait), decision.wait);
             if (state.last_granted == zone) {
                 state.last_granted.reset();
@@ -87,29 +88,28 @@
     return {quota_verdict::denied, *progress.shortest_wait};
 }
 
-auto quota_client::give_back(const team_id& owner, time_point now) -> void {
+auto quota_client::give_back(const team_id& owner, time_point granted, time_point now) -> void {
     auto& state = teams_[owner];
     state.used = now;
-    state.returned.push_back(now);
+    state.returned.push_back(granted);
     if (state.returned.size() > MAX_RETURNED) {
         state.returned.pop_front();
     }
 }
 
-auto quota_client::take_returned(const team_id& owner, time_point now) -> bool {
+auto quota_client::take_returned(const team_id& owner, time_point now) -> std::optional<time_point> {
     auto found = teams_.find(owner);
     if (found == teams_.end()) {
-        return false;
+        return std::nullopt;
     }
     auto& returned = found->second.returned;
-    while (!returned.empty() && now - returned.front() > RETURNED_LIFETIME) {
-        returned.pop_front();
-    }
+    std::erase_if(returned, [&](time_point granted) { return now - granted > RETURNED_LIFETIME; });
     if (returned.empty()) {
-        return false;
+        return std::nullopt;
     }
+    auto granted = returned.front();
     returned.pop_front();
-    return true;
+    return granted;
 }
 
 auto quota_client::sweep(time_point now) -> void {
--- a/tests/unit/routing/quota.cpp
+++ b/tests/unit/routing/quota.cpp
@@ -236,13 +236,40 @@
     quota_client client{zone_id{"a"}};
     team_id owner{"counter"};
     CHECK_FALSE(client.take_returned(owner, at_ms(0)));
-    client.give_back(owner, at_ms(0));
+    client.give_back(owner, at_ms(0), at_ms(0));
     CHECK(client.take_returned(owner, at_ms(1000)));
     CHECK_FALSE(client.take_returned(owner, at_ms(1000)));
-    client.give_back(owner, at_ms(1000));
+    client.give_back(owner, at_ms(1000), at_ms(1000));
     CHECK_FALSE(client.take_returned(owner, at_ms(3500)));
     client.sweep(at_ms(30'000));
     CHECK(client.size() == 0);
+    SECTION("also when several requests in turn did not run") {
+        // Otherwise grants of an overload are kept alive by it, and run all at once when it ends.
+        client.give_back(owner, at_ms(40'000), at_ms(41'000));
+        auto granted = client.take_returned(owner, at_ms(41'500));
+        REQUIRE(granted);
+        CHECK(*granted == at_ms(40'000));
+        client.give_back(owner, *granted, at_ms(41'900));
+        CHECK_FALSE(client.take_returned(owner, at_ms(42'500)));
+    }
+}
+
+// Guards against callers that are told to come back before their team's quota has room.
+TEST_CASE("a remembered denial keeps its wait") {
+    quota_split split{{zone_id{"a"}}, SLACK};
+    quota_client client{zone_id{"a"}};
+    auto owner = make_team(18, 18);
+    quota_client::inquiry first;
+    REQUIRE(client.next_zone(owner, split, first, at_ms(0)));
+    client.answered(owner, zone_id{"a"}, {quota_verdict::denied, seconds{5}}, first, at_ms(0));
+    CHECK(quota_client::conclude(first).wait == seconds{5});
+    quota_client::inquiry second;
+    CHECK_FALSE(client.next_zone(owner, split, second, at_ms(900)));
+    CHECK(quota_client::conclude(second).verdict == quota_verdict::denied);
+    CHECK(quota_client::conclude(second).wait == milliseconds{4100});
+    // An allocator that may have room again is asked nevertheless.
+    quota_client::inquiry third;
+    CHECK(client.next_zone(owner, split, third, at_ms(1100)));
 }
 
 // Guards against two instances that grant at the same time.
