Escape the values of labels in metrics

Cause: a team's name may hold quotes and backslashes, with which the page of metrics cannot be read.

Result: 'values of labels are escaped' failed before and passes now.

--- a/src/output/metrics.cpp
+++ b/src/output/metrics.cpp
@@ -26,10 +26,19 @@
     double sum_s = 0;
 };
 
+/// Value of a label in the text format, in which quotes and backslashes are escaped.
+auto escaped(const std::string& value) -> std::string {
+    std::string text;
+    for (auto c : value) {
+        text += c == '"' || c == '\\' ? std::string{'\\', c} : c == '\n' ? "\\n" : std::string{c};
+    }
+    return text;
+}
+
 auto label_text(const std::vector<metric_label>& labels) -> std::string {
     std::string text;
     for (const auto& label : labels) {
-        text += fmt::format("{}{}=\"{}\"", text.empty() ? "" : ",", label.name, label.value);
+        text += fmt::format("{}{}=\"{}\"", text.empty() ? "" : ",", label.name, escaped(label.value));
     }
     return text;
 }
