Election: own the key only by a confirmed write

Cause: an instance that saw its own key took it for the result of its latest write. When it was suspended, its first updates may be old: the key was attached to an earlier lease and had been removed, and another instance granted. Both then granted the zone's shares.

Change: a seen key never makes an owner. It is written again on condition of its revision, which fails if the update is old.

--- a/include/eelgrassledge/routing/quota_election.hpp
+++ b/include/eelgrassledge/routing/quota_election.hpp
@@ -66,7 +66,8 @@
     /// The write to perform now, if any. `rank` is this instance's place among the candidates, from zero;
     /// later candidates wait longer. At most one write is pending until `written` is called.
     auto next_write(std::size_t rank, time_point now) -> std::optional<write_order>;
-    /// The pending write ended. If its outcome is not known, a later `key_seen` shows it.
+    /// The pending write ended. Only a write that is known to have succeeded makes this instance the owner;
+    /// if the outcome is not known, the key is written again on condition of the revision that is seen.
     auto written(bool succeeded, time_point now) -> void;
 
     /// This instance stops and grants nothing from now on.
--- a/src/routing/quota_election.cpp
+++ b/src/routing/quota_election.cpp
@@ -30,16 +30,15 @@
 }
 
 auto quota_election::key_seen(const instance_start& owner, mod_revision modified, time_point now) -> void {
-    auto was_own = owner_ == setup_.self;
     owner_ = owner;
     revision_ = modified;
     if (owner != setup_.self) {
         owns_ = false;
         // An earlier start of this instance has ended, since this one runs.
         predecessor_ends_ = owner.id == setup_.self.id ? std::optional{now} : std::nullopt;
-    } else if (!was_own && !owns_ && !write_pending_ && lease_ && lease_ == written_with_) {
-        become_owner(now);
     }
+    // The own key alone proves nothing: the update may be old, and the key attached to a lease that has
+    // ended. `next_write` replaces it.
 }
 
 auto quota_election::key_removed(time_point now) -> void {
@@ -75,7 +74,8 @@
         return std::nullopt;
     }
     if (owner_) {
-        // Also replaces the own key when it is attached to an earlier lease.
+        // Also replaces the own key when it is attached to an earlier lease, or when the answer to its write
+        // was lost.
         if (owner_->id != setup_.self.id) {
             return std::nullopt;
         }
