--- a/src/proxy/forwarding_node.cpp
+++ b/src/proxy/forwarding_node.cpp
@@ -36,7 +36,9 @@
                }),
       peers_(network,
              [this](const shared_session& s, inbound_request r) {
-                 if (feed_server::is_feed_request(r)) {
+                 if (is_peer_query(r)) {
+                     forwarder_.handle_for_peer(s, std::move(r));
+                 } else if (feed_server::is_feed_request(r)) {
                      feed_server_.handle(s, r);
                  } else if (strike_exchange::is_report(r) && strikes_) {
                      strikes_->handle(s, r);
@@ -106,7 +108,7 @@
         [this](const team& sender, std::function<void(quota_decision)> on_decision) {
             quotas_->ask(sender, std::move(on_decision));
         },
-        [this](const team& sender) { quotas_->returned(sender); });
+        [this](const team& sender, time_point granted) { quotas_->returned(sender, granted); });
     followed_store_ = std::make_unique<watched_store>(source_->hooks());
     follower_ = std::make_unique<store_follower>(
         network_.loop, *followed_store_, "", settings_.max_update_delay, replica_, std::move(updates),
--- a/src/routing/quota_election.cpp
+++ b/src/routing/quota_election.cpp
@@ -30,21 +30,22 @@
 }
 
 auto quota_election::key_seen(const instance_start& owner, mod_revision modified, time_point now) -> void {
-    auto was_own = owner_ == setup_.self;
     owner_ = owner;
     revision_ = modified;
     if (owner != setup_.self) {
         owns_ = false;
         // An earlier start of this instance has ended, since this one runs.
-        predecessor_ended_ = owner.id == setup_.self.id;
-    } else if (!was_own && !owns_ && !write_pending_ && lease_ && lease_ == written_with_) {
-        become_owner(now);
+        predecessor_ends_ = owner.id == setup_.self.id ? std::optional{now} : std::nullopt;
     }
+    // The own key alone proves nothing: the update may be old, and the key attached to a lease that has
+    // ended. `next_write` replaces it.
 }
 
 auto quota_election::key_removed(time_point now) -> void {
     if (owner_) {
-        predecessor_ended_ = true;
+        if (owner_ != setup_.self) {
+            predecessor_ends_ = now;
+        }
         missing_since_ = now;
     }
     owner_.reset();
@@ -59,7 +60,8 @@
     is_listed_ = true;
     if (!owner_) {
         missing_since_ = now;
-        predecessor_ended_ = setup_.is_first_start;
+        // Its lease may have been renewed just before.
+        predecessor_ends_ = setup_.is_first_start ? now : now + setup_.time_to_live;
     }
 }
 
@@ -72,7 +74,8 @@
         return std::nullopt;
     }
     if (owner_) {
-        // Also replaces the own key when it is attached to an earlier lease.
+        // Also replaces the own key when it is attached to an earlier lease, or when the answer to its write
+        // was lost.
         if (owner_->id != setup_.self.id) {
             return std::nullopt;
         }
@@ -96,10 +99,10 @@
 auto quota_election::become_owner(time_point now) -> void {
     owns_ = true;
     owner_ = setup_.self;
-    auto earliest = predecessor_ended_ ? now : now + setup_.time_to_live;
+    auto earliest = std::max(now, predecessor_ends_.value_or(now + setup_.time_to_live));
     grants_from_ = std::max(earliest, uncertain_until_);
     // Only this process can follow itself from here on.
-    predecessor_ended_ = true;
+    predecessor_ends_ = earliest;
 }
 
 auto quota_election::may_grant(time_point now) const -> bool {
