--- a/src/proxy/forwarder.cpp
+++ b/src/proxy/forwarder.cpp
@@ -56,8 +56,7 @@
     query.head = request.method + ' ' + request.target + " HTTP/1.1\r\n";
     auto is_replaced = [&](const std::string& name) {
         return equal_ignoring_case(name, settings_.headers.time_left) ||
-               equal_ignoring_case(name, settings_.headers.expected_upstream) ||
-               is_instance_header(name) ||
+               equal_ignoring_case(name, settings_.headers.expected_upstream) || is_instance_header(name) ||
                (setup.table->has_teams() && (equal_ignoring_case(name, "authorization") ||
                                              is_same_to_upstreams(name, settings_.headers.team)));
     };
