Order the store's states by era and revision

Cause: a store that comes back from a copy assigns its revisions again. The replica kept the lost state, since its revisions were higher, and leases and keys written since the copy were gone without being written again.

At a rise the follower lists at once, the replica is replaced as a whole by the complete listing, and registration, strikes and quotas are told before the answer is passed on. An entry of an upstream that is older than the known one does not count until the upstream writes again.

--- a/include/eelgrassledge/proxy/feed_server.hpp
+++ b/include/eelgrassledge/proxy/feed_server.hpp
@@ -11,6 +11,9 @@
 /// Header of a request for changes; its value is the revision after which changes are requested.
 inline constexpr std::string_view FEED_AFTER_HEADER = "X-Eelgrassledge-Feed-After";
 
+/// Era of that revision. A request without it is from an instance that knows no eras.
+inline constexpr std::string_view FEED_ERA_HEADER = "X-Eelgrassledge-Feed-Era";
+
 /// Serves the feed, the changes of the store that one instance passes on to others. A request is answered at
 /// once when there are changes, else when the replica changes or after a wait.
 class feed_server {
@@ -38,8 +41,8 @@
   private:
     struct waiting_request {
         shared_session session;
-        /// Revision after which changes are requested.
-        mod_revision seen;
+        /// Position after which changes are requested.
+        store_position seen;
         /// When the request is answered even without changes.
         time_point until;
     };
--- a/include/eelgrassledge/proxy/feed_source.hpp
+++ b/include/eelgrassledge/proxy/feed_source.hpp
@@ -4,6 +4,7 @@
 
 #include "eelgrassledge/proxy/feed_server.hpp"
 #include "eelgrassledge/proxy/peer_calls.hpp"
+#include "eelgrassledge/proxy/store_eras.hpp"
 #include "eelgrassledge/runtime/event_log.hpp"
 
 namespace eelgrassledge {
@@ -14,9 +15,11 @@
 /// Data of another instance is only as recent as that instance's own, so each answer carries its age.
 class feed_source {
   public:
-    /// `seeds` are addresses of instances that are queried in addition to those listed in the store.
+    /// `seeds` are addresses of instances that are queried in addition to those listed in the store. `eras`
+    /// gets the eras of the answers of other instances; answers of older eras are not used.
     feed_source(network_context& network, const watched_store& store, const feed_server& server,
-                instance_directory& instances, std::vector<std::string> seeds, event_log log);
+                instance_directory& instances, store_eras& eras, std::vector<std::string> seeds,
+                event_log log);
 
     /// The hooks of the store, with `list` and `watch` replaced by versions that may query another instance.
     [[nodiscard]] auto hooks() -> watched_store;
@@ -37,6 +40,10 @@
     /// the outage.
     [[nodiscard]] auto had_recent_outage(time_point now) const -> bool;
 
+    /// Records that the store was restored from a copy, which has the effects of an outage: entries written
+    /// since the copy disappear although their owners are alive.
+    auto store_restored() -> void;
+
     /// Closes idle connections.
     auto sweep(time_point now) -> void { peers_.sweep(now); }
 
@@ -47,15 +54,15 @@
 
     auto list(const std::string& prefix, const std::string& after, page_done on_done) -> void;
     auto list_from_peer(const error& cause, page_done on_done) -> void;
-    auto watch(const std::string& prefix, mod_revision after, duration wait, events_done on_done) -> void;
-    auto watch_store(const std::string& prefix, mod_revision after, duration wait, events_done on_done)
+    auto watch(const std::string& prefix, store_position after, duration wait, events_done on_done) -> void;
+    auto watch_store(const std::string& prefix, store_position after, duration wait, events_done on_done)
         -> void;
-    auto watch_relay(const instance_record& relay, const std::string& prefix, mod_revision after,
+    auto watch_relay(const instance_record& relay, const std::string& prefix, store_position after,
                      events_done on_done) -> void;
-    auto watch_peer(mod_revision after, const error& cause, events_done on_done) -> void;
+    auto watch_peer(store_position after, const error& cause, events_done on_done) -> void;
 
-    /// Requests the changes after a revision from an instance, which delays its answer while it has none.
-    auto request_changes(const instance_record& peer, mod_revision after, answer_done on_done) -> void;
+    /// Requests the changes after a position from an instance, which delays its answer while it has none.
+    auto request_changes(const instance_record& peer, store_position after, answer_done on_done) -> void;
     /// The next instance to query while the store is unavailable: the last one, unless it was passed over.
     [[nodiscard]] auto choose_peer(time_point now) -> std::optional<instance_record>;
     /// Logs why an instance is passed over and makes the next query choose another one.
@@ -66,8 +73,10 @@
     /// Records that the store answers this instance again.
     auto store_became_available() -> void;
     /// Checks with a short watch whether the unavailable store answers again, one call at a time.
-    auto probe_store(const std::string& prefix, mod_revision after) -> void;
+    auto probe_store(const std::string& prefix, store_position after) -> void;
 
+    /// Records that a complete listing of the newest era was received.
+    auto listing_received() -> void;
     auto confirm(time_point at) const -> void;
     auto set_source(const std::string& source) -> void;
     auto log_changes(const store_events& changes, const std::string& from, duration age) const -> void;
@@ -75,6 +84,9 @@
     const watched_store& store_;
     const feed_server& server_;
     instance_directory& instances_;
+    store_eras& eras_;
+    /// Whether no listing was received since the store was restored.
+    bool awaits_listing_ = false;
     std::vector<std::string> seeds_;
     event_log log_;
     peer_calls peers_;
--- a/include/eelgrassledge/proxy/forwarding_node.hpp
+++ b/include/eelgrassledge/proxy/forwarding_node.hpp
@@ -76,6 +76,13 @@
     auto lease_renewed(lease_id lease, time_point asked) -> void;
     auto lease_lost() -> void;
 
+    /// The newest era of the store. Its user reports the era of every answer of the store to it before using
+    /// the answer.
+    [[nodiscard]] auto eras() -> store_eras& { return eras_; }
+    /// Sets the hook that is called when the store was restored from a copy, so that the owner of the node
+    /// writes its keys again.
+    auto on_store_restored(std::function<void()> hook) -> void { restored_ = std::move(hook); }
+
     /// Starts a graceful shutdown: reports not ready at once, answers the running requests within the stop
     /// grace, then calls `on_stopped`. Later calls have no effect.
     auto begin_stop(std::function<void()> on_stopped) -> void;
@@ -94,6 +101,8 @@
     /// cannot be served from here.
     auto check_cut_off(time_point now) -> void;
     auto update_instance_count() -> void;
+    /// Starts what a restored store requires, before any answer of the new era is used.
+    auto store_restored(store_era from, store_era to) -> void;
     [[nodiscard]] auto store_was_unavailable(time_point now) const -> bool;
 
     network_context& network_;
@@ -105,6 +114,8 @@
     http_server readiness_;
     http_server metrics_;
     http_server peers_;
+    store_eras eras_;
+    std::function<void()> restored_;
     store_replica replica_;
     feed_server feed_server_;
     std::unique_ptr<feed_source> source_;
--- a/include/eelgrassledge/proxy/instance_registration.hpp
+++ b/include/eelgrassledge/proxy/instance_registration.hpp
@@ -31,6 +31,10 @@
 
     auto start() -> void { request_lease(); }
 
+    /// Requests a new lease and writes the key again, since the store was restored from a copy: the lease may
+    /// be lost, or its id may be assigned to another owner. Answers to earlier calls are ignored.
+    auto store_restored() -> void;
+
     /// Revokes the lease, so that other instances see at once that this one leaves.
     auto leave() -> void;
 
@@ -48,6 +52,8 @@
     event_log log_;
     asio::steady_timer timer_;
     lease_id lease_;
+    /// Number of the current sequence of calls, which ends when the store is restored.
+    std::uint64_t sequence_ = 0;
     bool leaving_ = false;
     std::function<void(lease_id, time_point)> renewed_;
     std::function<void()> lost_;
--- a/include/eelgrassledge/proxy/store_follower.hpp
+++ b/include/eelgrassledge/proxy/store_follower.hpp
@@ -15,6 +15,10 @@
 struct follower_hooks {
     /// A key was added or has a new value.
     std::function<void(const std::string& key, const std::string& value)> changed;
+    /// A listing after the store was restored from a copy holds a key that existed before; `previous` is the
+    /// value known until then, which may be newer than `value`. Without this hook, `changed` is called.
+    std::function<void(const std::string& key, const std::string& previous, const std::string& value)>
+        restored;
     /// A key was removed.
     std::function<void(const std::string& key)> removed;
     /// A full listing was applied; called after `changed` and `removed` of each key that differed.
@@ -35,10 +39,16 @@
     /// Starts the first listing.
     auto start() -> void { list_from(""); }
 
+    /// Starts a listing at once, since the store was restored from a copy. Answers to earlier calls are
+    /// ignored: their revisions may be of the previous era.
+    auto store_restored() -> void;
+
   private:
     auto list_from(const std::string& after) -> void;
     auto handle_page(const result<store_page>& page) -> void;
-    auto apply_change(const store_event& change) -> bool;
+    auto apply_change(const store_event& change, store_era era) -> bool;
+    /// Replaces the replica's contents by the complete listing of a newer era.
+    auto apply_listed_era() -> void;
     auto finish_listing() -> void;
     auto watch() -> void;
     auto handle_events(const result<store_events>& events) -> void;
@@ -58,12 +68,17 @@
     asio::steady_timer timer_;
     /// Keys of the current listing, over all its pages so far.
     std::set<std::string> listed_keys_;
+    /// Items of the current listing if it is of a newer era than the replica. They are applied as a whole, so
+    /// that the replica never mixes eras.
+    std::vector<key_value> listed_items_;
     /// Last key of the pages so far; a page that failed is requested again.
     std::string listed_to_;
-    /// Revision of the first page of the current listing.
-    mod_revision listed_at_;
-    /// Revision after which the next watch begins.
-    mod_revision watched_to_;
+    /// Position of the first page of the current listing.
+    store_position listed_at_;
+    /// Position after which the next watch begins.
+    store_position watched_to_;
+    /// Number of the current sequence of calls; answers to calls of earlier ones are ignored.
+    std::uint64_t sequence_ = 0;
     /// Failed calls since the last successful one.
     std::uint32_t failures_ = 0;
     /// Listings that were necessary since the last successful watch.
--- a/include/eelgrassledge/proxy/strike_exchange.hpp
+++ b/include/eelgrassledge/proxy/strike_exchange.hpp
@@ -29,6 +29,9 @@
     /// Records that a strike's key was removed from the store.
     auto removed(const std::string& key) -> void { register_.removed(key); }
 
+    /// Schedules the writes that a store needs that was restored from a copy.
+    auto store_restored() -> void { register_.store_restored(); }
+
     /// Strikes that are not known to be present in the store.
     [[nodiscard]] auto unstored() const -> std::vector<strike> { return register_.unstored(); }
 
--- a/include/eelgrassledge/proxy/strike_register.hpp
+++ b/include/eelgrassledge/proxy/strike_register.hpp
@@ -45,6 +45,10 @@
     /// Records that a strike is no longer present in the store.
     auto removed(const std::string& key) -> void;
 
+    /// Schedules a write of each strike that this instance found or is responsible for, since the store was
+    /// restored from a copy and may have lost it. A listing that still has the strike cancels the write.
+    auto store_restored() -> void;
+
     /// Strikes that are not known to be present in the store.
     [[nodiscard]] auto unstored() const -> std::vector<strike>;
 
@@ -56,9 +60,12 @@
         strike recorded;
         /// When it is to be written; empty when it is present in the store.
         std::optional<time_point> due;
+        bool found_here = false;
     };
 
-    auto schedule_write(const strike& found, duration wait) -> void;
+    auto schedule_write(const strike& found, duration wait, bool found_here) -> void;
+    /// A random time within which writes of several instances are spread.
+    [[nodiscard]] auto spread() const -> duration;
     /// Writes the strike that is due first, or arms the timer for it.
     auto write_next_due() -> void;
     auto write(const std::string& key) -> void;
--- a/include/eelgrassledge/proxy/watched_store.hpp
+++ b/include/eelgrassledge/proxy/watched_store.hpp
@@ -10,6 +10,19 @@
 
 namespace eelgrassledge {
 
+/// Counts how often the store was restored from a copy. After a restore, writes made since the copy are lost
+/// and their revisions are assigned again, so revisions of different eras cannot be compared. Zero for a
+/// store that states no era.
+using store_era = strong_type<struct store_era_tag, std::int64_t>;
+
+/// A point in the store's history; ordered by era, then by revision.
+struct store_position {
+    store_era era;
+    mod_revision revision;
+
+    friend auto operator<=>(const store_position&, const store_position&) = default;
+};
+
 /// One page of a listing. The pages of a listing are no consistent snapshot: changes made while it is read
 /// are returned by a watch after `current`.
 struct store_page {
@@ -18,6 +31,7 @@
     std::string last_key;
     bool has_more = false;
     mod_revision current;
+    store_era era;
     /// Whether the page holds every key, so that it replaces the pages before it.
     bool is_complete = false;
 };
@@ -36,6 +50,8 @@
     std::vector<store_event> events;
     /// Revision up to which the events are complete.
     mod_revision current;
+    /// Era of all revisions here.
+    store_era era;
     /// Whether the events list all existing keys, so that any other key has been removed.
     bool is_listing = false;
 };
@@ -51,9 +67,10 @@
     /// Lists the keys that begin with a prefix and come after a key.
     std::function<void(const std::string& prefix, const std::string& after, done<store_page>)> list;
 
-    /// Waits for changes after a revision, for at most `wait`; `store_history_lost` when the store no longer
-    /// holds the changes since then.
-    std::function<void(const std::string& prefix, mod_revision after, duration wait, done<store_events>)>
+    /// Waits for changes after a position, for at most `wait`; `store_history_lost` when the source does not
+    /// hold the changes since then. The events may be of a newer era than `after`; they are then not
+    /// complete.
+    std::function<void(const std::string& prefix, store_position after, duration wait, done<store_events>)>
         watch;
 
     /// Opens a lease. The store removes the keys of a lease that is not renewed within `time_to_live`.
--- a/include/eelgrassledge/routing/upstream.hpp
+++ b/include/eelgrassledge/routing/upstream.hpp
@@ -24,6 +24,8 @@
     duration warm_up_left{};
     /// Start time of this incarnation (one run of the upstream's process) in Unix milliseconds.
     std::int64_t born_unix_ms = 0;
+    /// Rises with each change that this incarnation makes to its record.
+    std::int64_t sequence = 0;
 };
 
 /// How strongly a new sub-request should avoid an upstream; higher values are avoided more.
--- a/schema/feed.capnp
+++ b/schema/feed.capnp
@@ -41,4 +41,6 @@
   inTrouble @4 :Bool;
   # Strikes that may not be present in the store yet.
   strikes @5 :List(Strike);
+  # How often the store was restored from a copy before `revision`; 0 if the store does not state it.
+  era @6 :Int64;
 }
--- a/src/proxy/feed_messages.cpp
+++ b/src/proxy/feed_messages.cpp
@@ -64,6 +64,7 @@
     capnp::MallocMessageBuilder message;
     auto root = message.initRoot<wire::FeedAnswer>();
     root.setRevision(answer.changes.current.value());
+    root.setEra(answer.changes.era.value());
     root.setIsListing(answer.changes.is_listing);
     root.setInTrouble(answer.recent_outage);
     constexpr std::int64_t LARGEST_AGE_MS = 1'000'000;
@@ -88,6 +89,7 @@
     return read_message<wire::FeedAnswer>(bytes, "feed answer", [](wire::FeedAnswer::Reader root) {
         feed_answer answer;
         answer.changes.current = mod_revision{root.getRevision()};
+        answer.changes.era = store_era{root.getEra()};
         answer.changes.is_listing = root.getIsListing();
         answer.age = milliseconds{root.getAgeMs()};
         answer.recent_outage = root.getInTrouble();
--- a/src/proxy/feed_server.cpp
+++ b/src/proxy/feed_server.cpp
@@ -27,7 +27,8 @@
         session->respond({400, {}, ""});
         return;
     }
-    waiting_request waiting{session, mod_revision{seen}, now + MAX_WAIT};
+    store_era era{to_whole_number(header_value(request.headers, FEED_ERA_HEADER), replica_.era().value())};
+    waiting_request waiting{session, {era, mod_revision{seen}}, now + MAX_WAIT};
     if (replica_.has_changes_after(waiting.seen)) {
         answer(waiting);
         return;
--- a/src/proxy/feed_source.cpp
+++ b/src/proxy/feed_source.cpp
@@ -57,6 +57,7 @@
     store_page page;
     page.is_complete = true;
     page.current = listing.current;
+    page.era = listing.era;
     for (auto& event : listing.events) {
         if (!event.value) {
             return std::nullopt;
@@ -80,17 +81,19 @@
 }  // namespace
 
 feed_source::feed_source(network_context& network, const watched_store& store, const feed_server& server,
-                         instance_directory& instances, std::vector<std::string> seeds, event_log log)
+                         instance_directory& instances, store_eras& eras, std::vector<std::string> seeds,
+                         event_log log)
     : store_(store),
       server_(server),
       instances_(instances),
+      eras_(eras),
       seeds_(std::move(seeds)),
       log_(std::move(log)),
       peers_(network) {}
 
 auto feed_source::hooks() -> watched_store {
     auto hooks = store_;
-    hooks.watch = [this](const std::string& prefix, mod_revision after, duration wait, events_done done) {
+    hooks.watch = [this](const std::string& prefix, store_position after, duration wait, events_done done) {
         watch(prefix, after, wait, std::move(done));
     };
     hooks.list = [this](const std::string& prefix, const std::string& after, page_done done) {
@@ -103,6 +106,11 @@
     return last_outage_ && now - *last_outage_ < RECENT_OUTAGE_TIME;
 }
 
+auto feed_source::store_restored() -> void {
+    last_outage_ = monotonic_now();
+    awaits_listing_ = true;
+}
+
 auto feed_source::confirm(time_point at) const -> void {
     if (confirmed_) {
         confirmed_(at);
@@ -122,6 +130,7 @@
     if (!changes.events.empty()) {
         log_(log_level::info, "changes_taken",
              {{"from", from},
+              {"era", std::to_string(changes.era.value())},
               {"revision", std::to_string(changes.current.value())},
               {"changes", std::to_string(changes.events.size())},
               {"age_ms", std::to_string(age / milliseconds{1})}});
@@ -147,7 +156,7 @@
     }
 }
 
-auto feed_source::probe_store(const std::string& prefix, mod_revision after) -> void {
+auto feed_source::probe_store(const std::string& prefix, store_position after) -> void {
     if (probing_ || monotonic_now() < next_probe_) {
         return;
     }
@@ -177,12 +186,21 @@
             return;
         }
         if (page && !page->has_more) {
+            listing_received();
             confirm(began);
         }
         on_done(std::move(page));
     });
 }
 
+auto feed_source::listing_received() -> void {
+    if (std::exchange(awaits_listing_, false)) {
+        // The store may have been unavailable for long since it was restored; the entries that disappear by
+        // this listing disappear only now.
+        last_outage_ = monotonic_now();
+    }
+}
+
 auto feed_source::list_from_peer(const error& cause, page_done on_done) -> void {
     auto peer = choose_peer(monotonic_now());
     if (!peer) {
@@ -207,6 +225,7 @@
                         if (age > MAX_AGE) {
                             pass_over(peer, outdated(age));
                         }
+                        listing_received();
                         on_done(std::move(*page));
                     });
 }
@@ -260,7 +279,7 @@
     current_peer_ = {};
 }
 
-auto feed_source::watch(const std::string& prefix, mod_revision after, duration wait, events_done on_done)
+auto feed_source::watch(const std::string& prefix, store_position after, duration wait, events_done on_done)
     -> void {
     if (store_failure_) {
         probe_store(prefix, after);
@@ -272,14 +291,17 @@
     }
 }
 
-auto feed_source::watch_store(const std::string& prefix, mod_revision after, duration wait,
+auto feed_source::watch_store(const std::string& prefix, store_position after, duration wait,
                               events_done on_done) -> void {
     auto began = monotonic_now();
     auto bounded = server_.has_followers(began) ? std::min(wait, RELAY_WATCH_TIME) : wait;
     set_source(STORE_NAME);
     store_.watch(prefix, after, bounded,
                  [this, began, after, on_done = std::move(on_done)](result<store_events> events) {
-                     if (events) {
+                     if (events && events->era != after.era) {
+                         // The events may not be complete, so they confirm nothing.
+                         last_outage_ = monotonic_now();
+                     } else if (events) {
                          log_changes(*events, STORE_NAME, monotonic_now() - began);
                          confirm(began);
                      } else if (is_store_unavailable(events.error())) {
@@ -293,7 +315,7 @@
                  });
 }
 
-auto feed_source::watch_relay(const instance_record& relay, const std::string& prefix, mod_revision after,
+auto feed_source::watch_relay(const instance_record& relay, const std::string& prefix, store_position after,
                               events_done on_done) -> void {
     request_changes(relay, after,
                     [this, relay, prefix, after, on_done = std::move(on_done)](result<feed_answer> answer) {
@@ -306,7 +328,7 @@
                     });
 }
 
-auto feed_source::watch_peer(mod_revision after, const error& cause, events_done on_done) -> void {
+auto feed_source::watch_peer(store_position after, const error& cause, events_done on_done) -> void {
     auto peer = choose_peer(monotonic_now());
     if (!peer) {
         on_done(tl::unexpected<error>{cause});
@@ -328,14 +350,14 @@
                     });
 }
 
-auto feed_source::request_changes(const instance_record& peer, mod_revision after, answer_done on_done)
+auto feed_source::request_changes(const instance_record& peer, store_position after, answer_done on_done)
     -> void {
     set_source(peer.id.value());
     peer_calls::order call;
     call.call = attempt_id{next_call_++};
     call.to = peer;
-    call.bytes = fmt::format("GET / HTTP/1.1\r\nHost: {}\r\n{}: {}\r\n\r\n", peer.peer_address,
-                             FEED_AFTER_HEADER, after.value());
+    call.bytes = fmt::format("GET / HTTP/1.1\r\nHost: {}\r\n{}: {}\r\n{}: {}\r\n\r\n", peer.peer_address,
+                             FEED_AFTER_HEADER, after.revision.value(), FEED_ERA_HEADER, after.era.value());
     call.confirm_within = MAX_PEER_WAIT + PEER_RESPONSE_MARGIN;
     call.answer_within = MAX_PEER_WAIT + PEER_RESPONSE_MARGIN;
     call.on_done = [this, peer, on_done = std::move(on_done)](const peer_call_result& reply) {
@@ -351,8 +373,15 @@
         }
         instances_.answered(peer.id);
         auto answer = decode_feed_answer(reply.answer.body);
+        auto order = answer ? eras_.seen(answer->changes.era) : era_order::same;
+        if (order == era_order::older) {
+            on_done(fail(result_code::bad_answer, "its data is of an older era of the store"));
+            return;
+        }
         if (answer) {
-            confirm(now - answer->age);
+            if (order == era_order::same) {
+                confirm(now - answer->age);
+            }
             log_changes(answer->changes, peer.id.value(), answer->age);
             if (strikes_ && !answer->strikes.empty()) {
                 strikes_(answer->strikes);
--- a/src/proxy/forwarding_node.cpp
+++ b/src/proxy/forwarding_node.cpp
@@ -87,7 +87,7 @@
 }
 
 auto forwarding_node::follow(const watched_store& store, follower_hooks updates) -> void {
-    source_ = std::make_unique<feed_source>(network_, store, feed_server_, forwarder_.instances(),
+    source_ = std::make_unique<feed_source>(network_, store, feed_server_, forwarder_.instances(), eras_,
                                             settings_.seeds, log_);
     source_->on_confirmed([this](time_point at) { replica_.confirm(at); });
     strikes_ = std::make_unique<strike_exchange>(
@@ -111,9 +111,22 @@
     follower_ = std::make_unique<store_follower>(
         network_.loop, *followed_store_, "", settings_.max_update_delay, replica_, std::move(updates),
         [this] { feed_server_.replica_changed(); }, log_);
+    eras_.on_rise([this](store_era from, store_era to) { store_restored(from, to); });
     follower_->start();
 }
 
+auto forwarding_node::store_restored(store_era from, store_era to) -> void {
+    log_(log_level::warning, "store_restored",
+         {{"from", std::to_string(from.value())}, {"to", std::to_string(to.value())}});
+    quotas_->store_restored();
+    source_->store_restored();
+    strikes_->store_restored();
+    if (restored_) {
+        restored_();
+    }
+    follower_->store_restored();
+}
+
 auto forwarding_node::is_ready() const -> bool {
     return !stop_ && upstreams_known_ && forwarder_.table() != nullptr && !cut_off_;
 }
--- a/src/proxy/instance_registration.cpp
+++ b/src/proxy/instance_registration.cpp
@@ -43,7 +43,10 @@
 
 auto instance_registration::request_lease() -> void {
     auto asked = monotonic_now();
-    store_.grant(time_to_live_, [this, asked](const result<lease_id>& lease) {
+    store_.grant(time_to_live_, [this, asked, sequence = sequence_](const result<lease_id>& lease) {
+        if (sequence != sequence_) {
+            return;
+        }
         if (!lease) {
             log_(log_level::warning, "lease_not_granted", {{"reason", lease.error().message}});
             schedule(RETRY_PAUSE, &instance_registration::request_lease);
@@ -58,7 +61,10 @@
 }
 
 auto instance_registration::write_key() -> void {
-    store_.put(key_, value_, lease_, [this](const result<bool>& written) {
+    store_.put(key_, value_, lease_, [this, sequence = sequence_](const result<bool>& written) {
+        if (sequence != sequence_) {
+            return;
+        }
         if (!written) {
             auto lost = written.error().code == result_code::store_not_found;
             schedule(RETRY_PAUSE,
@@ -73,7 +79,10 @@
 
 auto instance_registration::renew_lease() -> void {
     auto asked = monotonic_now();
-    store_.keep_alive(lease_, [this, asked](const result<bool>& kept) {
+    store_.keep_alive(lease_, [this, asked, sequence = sequence_](const result<bool>& kept) {
+        if (sequence != sequence_) {
+            return;
+        }
         if (kept) {
             if (renewed_) {
                 renewed_(lease_, asked);
@@ -93,8 +102,19 @@
     });
 }
 
+auto instance_registration::store_restored() -> void {
+    ++sequence_;
+    lease_ = {};
+    timer_.cancel();
+    if (!leaving_) {
+        request_lease();
+    }
+}
+
 auto instance_registration::leave() -> void {
     leaving_ = true;
+    // A lease that is granted from now on must not be used to write the key.
+    ++sequence_;
     timer_.cancel();
     if (lease_ != lease_id{}) {
         store_.revoke(lease_, [](const result<bool>&) {
--- a/src/proxy/store_follower.cpp
+++ b/src/proxy/store_follower.cpp
@@ -55,7 +55,17 @@
     if (after.empty()) {
         listed_keys_.clear();
     }
-    store_.list(prefix_, after, [this](const result<store_page>& page) { handle_page(page); });
+    store_.list(prefix_, after, [this, sequence = sequence_](const result<store_page>& page) {
+        if (sequence == sequence_) {
+            handle_page(page);
+        }
+    });
+}
+
+auto store_follower::store_restored() -> void {
+    ++sequence_;
+    timer_.cancel();
+    list_from("");
 }
 
 auto store_follower::handle_page(const result<store_page>& page) -> void {
@@ -63,15 +73,29 @@
         failed(page.error());
         return;
     }
+    if (page->era < replica_.era()) {
+        failed({result_code::store_unavailable, "the listing is of an older era"});
+        return;
+    }
     if (page->is_complete) {
         listed_keys_.clear();
     }
+    if (!listed_keys_.empty() && page->era != listed_at_.era) {
+        // The earlier pages are of another era, so the listing begins again.
+        list_from("");
+        return;
+    }
     if (listed_keys_.empty()) {
-        listed_at_ = page->current;
+        listed_items_.clear();
+        listed_at_ = {page->era, page->current};
     }
     for (const auto& item : page->items) {
         listed_keys_.insert(item.key);
-        apply_change({item.key, item.value, item.modified});
+        if (page->era > replica_.era()) {
+            listed_items_.push_back(item);
+        } else {
+            apply_change({item.key, item.value, item.modified}, page->era);
+        }
     }
     if (page->has_more && page->last_key <= listed_to_) {
         // The next page cannot be asked for, and ending the listing here would remove the keys on it.
@@ -90,19 +114,42 @@
 
 auto store_follower::finish_listing() -> void {
     listing_ = false;
-    for (const auto& key : replica_.apply_listing(listed_keys_, listed_at_)) {
-        hooks_.removed(key);
+    if (listed_at_.era > replica_.era()) {
+        apply_listed_era();
+    } else {
+        for (const auto& key : replica_.apply_listing(listed_keys_, listed_at_.revision)) {
+            hooks_.removed(key);
+        }
     }
     log_(log_level::info, "store_listed",
          {{"prefix", prefix_},
           {"keys", std::to_string(listed_keys_.size())},
-          {"revision", std::to_string(listed_at_.value())}});
+          {"era", std::to_string(listed_at_.era.value())},
+          {"revision", std::to_string(listed_at_.revision.value())}});
     hooks_.listed();
     advanced_();
 }
 
-auto store_follower::apply_change(const store_event& change) -> bool {
-    if (!replica_.apply(change)) {
+auto store_follower::apply_listed_era() -> void {
+    auto items = std::exchange(listed_items_, {});
+    auto changes = replica_.apply_era(listed_at_.era, items, listed_at_.revision);
+    if (!changes) {
+        return;
+    }
+    for (const auto& one : changes->listed) {
+        if (one.previous && hooks_.restored) {
+            hooks_.restored(one.key, *one.previous, one.value);
+        } else {
+            hooks_.changed(one.key, one.value);
+        }
+    }
+    for (const auto& key : changes->removed) {
+        hooks_.removed(key);
+    }
+}
+
+auto store_follower::apply_change(const store_event& change, store_era era) -> bool {
+    if (!replica_.apply(change, era)) {
         return false;
     }
     if (change.value) {
@@ -115,7 +162,11 @@
 
 auto store_follower::watch() -> void {
     store_.watch(prefix_, watched_to_, watch_time_,
-                 [this](const result<store_events>& events) { handle_events(events); });
+                 [this, sequence = sequence_](const result<store_events>& events) {
+                     if (sequence == sequence_) {
+                         handle_events(events);
+                     }
+                 });
 }
 
 auto store_follower::handle_events(const result<store_events>& events) -> void {
@@ -123,21 +174,30 @@
         failed(events.error());
         return;
     }
+    if (events->era < watched_to_.era) {
+        failed({result_code::store_unavailable, "the changes are of an older era"});
+        return;
+    }
+    if (events->era > watched_to_.era) {
+        // The position of the watch means nothing in the new era, so the events may not be complete.
+        failed({result_code::store_history_lost, "the changes are of a newer era"});
+        return;
+    }
     succeeded();
     listings_ = 0;
     if (events->is_listing) {
         listed_keys_.clear();
-        listed_at_ = events->current;
+        listed_at_ = {events->era, events->current};
     }
     auto applied = false;
     for (const auto& event : events->events) {
-        applied = apply_change(event) || applied;
+        applied = apply_change(event, events->era) || applied;
         if (events->is_listing) {
             listed_keys_.insert(event.key);
         }
     }
-    watched_to_ = std::max(watched_to_, events->current);
-    replica_.advance(watched_to_);
+    watched_to_ = std::max(watched_to_, {events->era, events->current});
+    replica_.advance(watched_to_.revision);
     if (events->is_listing) {
         finish_listing();
     }
@@ -162,7 +222,7 @@
     if (!listing_ && (is_history_lost || cause.code == result_code::store_bad_answer)) {
         log_(log_level::warning, is_history_lost ? "store_history_lost" : "store_answer_unreadable",
              {{"prefix", prefix_},
-              {"revision", std::to_string(watched_to_.value())},
+              {"revision", std::to_string(watched_to_.revision.value())},
               {"reason", cause.message}});
         // The first listing starts at once. Further ones back off, so that a store that keeps no history at
         // all is not listed continuously.
--- a/src/proxy/store_replica.cpp
+++ b/src/proxy/store_replica.cpp
@@ -11,7 +11,10 @@
 
 }  // namespace
 
-auto store_replica::apply(const store_event& change) -> bool {
+auto store_replica::apply(const store_event& change, store_era era) -> bool {
+    if (era != era_) {
+        return false;
+    }
     auto found = entries_.find(change.key);
     auto newest_known = found != entries_.end() ? found->second.revision : history_start_;
     if (change.revision <= newest_known && (found != entries_.end() || listed_)) {
@@ -49,7 +52,7 @@
         }
     }
     for (const auto& key : removed) {
-        apply({key, std::nullopt, at});
+        apply({key, std::nullopt, at}, era_);
     }
     if (!listed_) {
         listed_ = true;
@@ -59,24 +62,51 @@
     return removed;
 }
 
+auto store_replica::apply_era(store_era era, const std::vector<key_value>& items, mod_revision at)
+    -> std::optional<era_changes> {
+    if (era <= era_) {
+        return std::nullopt;
+    }
+    era_changes changes;
+    auto previous = std::exchange(entries_, {});
+    for (const auto& item : items) {
+        auto known = previous.find(item.key);
+        changes.listed.push_back(
+            {item.key, item.value, known != previous.end() ? known->second.value : std::nullopt});
+        entries_[item.key] = {item.value, item.modified};
+    }
+    for (const auto& [key, known] : previous) {
+        if (known.value && !entries_.contains(key)) {
+            changes.removed.push_back(key);
+        }
+    }
+    removals_.clear();
+    era_ = era;
+    history_start_ = at;
+    current_ = at;
+    listed_ = true;
+    return changes;
+}
+
 auto store_replica::revision_of(const std::string& key) const -> mod_revision {
     auto found = entries_.find(key);
     return found != entries_.end() && found->second.value ? found->second.revision : mod_revision{};
 }
 
-auto store_replica::after(mod_revision seen, time_point now) const -> result<feed_answer> {
+auto store_replica::after(store_position seen, time_point now) const -> result<feed_answer> {
     if (!listed_) {
         return fail(result_code::store_unavailable, "the store has not been listed yet");
     }
     feed_answer answer;
     answer.age = age(now);
     answer.changes.current = current_;
-    answer.changes.is_listing = seen < history_start_;
+    answer.changes.era = era_;
+    answer.changes.is_listing = seen < store_position{era_, history_start_};
     if (!answer.changes.is_listing && !has_changes_after(seen)) {
         return answer;
     }
     for (const auto& [key, known] : entries_) {
-        if (answer.changes.is_listing ? known.value.has_value() : known.revision > seen) {
+        if (answer.changes.is_listing ? known.value.has_value() : known.revision > seen.revision) {
             answer.changes.events.push_back({key, known.value, known.revision});
         }
     }
--- a/src/proxy/strike_register.cpp
+++ b/src/proxy/strike_register.cpp
@@ -45,21 +45,22 @@
 }
 
 auto strike_register::found_here(const strike& found) -> void {
-    schedule_write(found, {});
+    schedule_write(found, {}, true);
 }
 
 auto strike_register::received_from_peer(const strike& found) -> void {
     if (!is_responsible_ || !is_responsible_(found.print)) {
         return;
     }
-    schedule_write(found,
-                   PEER_WRITE_DELAY + std::chrono::duration_cast<duration>(PEER_WRITE_SPREAD * random_()));
+    schedule_write(found, PEER_WRITE_DELAY + spread(), false);
 }
 
 auto strike_register::stored(const strike& found) -> void {
     auto key = key_of(found);
     if (known_.contains(key) || known_.size() < MAX_KNOWN_STRIKES) {
-        known_[key] = {found, std::nullopt};
+        auto& known = known_[key];
+        known.recorded = found;
+        known.due.reset();
     }
 }
 
@@ -74,10 +75,28 @@
         return;
     }
     log_(log_level::warning, "strike_removed_early", {{"key", key}});
-    known->second.due = monotonic_now() + std::chrono::duration_cast<duration>(PEER_WRITE_SPREAD * random_());
+    known->second.due = monotonic_now() + spread();
     write_next_due();
 }
 
+auto strike_register::store_restored() -> void {
+    // The id may be assigned to another lease.
+    lease_ = {};
+    auto now = monotonic_now();
+    for (auto& [key, known] : known_) {
+        if (known.found_here) {
+            known.due = now + PEER_WRITE_DELAY;
+        } else if (is_responsible_ && is_responsible_(known.recorded.print)) {
+            known.due = now + PEER_WRITE_DELAY + spread();
+        }
+    }
+    write_next_due();
+}
+
+auto strike_register::spread() const -> duration {
+    return std::chrono::duration_cast<duration>(PEER_WRITE_SPREAD * random_());
+}
+
 auto strike_register::unstored() const -> std::vector<strike> {
     std::vector<strike> found;
     for (const auto& [key, known] : known_) {
@@ -88,10 +107,10 @@
     return found;
 }
 
-auto strike_register::schedule_write(const strike& found, duration wait) -> void {
+auto strike_register::schedule_write(const strike& found, duration wait, bool found_here) -> void {
     auto key = key_of(found);
     if (!known_.contains(key) && known_.size() < MAX_KNOWN_STRIKES) {
-        known_[key] = {found, monotonic_now() + wait};
+        known_[key] = {found, monotonic_now() + wait, found_here};
         write_next_due();
     }
 }
