Allocator goes on granting over a restore of the store

Cause: an instance registers under a new lease after a restore, which ended its ownership of the quota key. Each allocator then waited for one time to live as a new owner does, so that for 15 s no zone granted quota.

Change: an owner keeps the authority that its lost lease gave it, which ends before any new owner's wait does, and goes on without a wait when it owns the key again before that end.

--- a/include/eelgrassledge/routing/quota_election.hpp
+++ b/include/eelgrassledge/routing/quota_election.hpp
@@ -59,7 +59,9 @@
     auto key_removed(time_point now) -> void;
     /// The first listing of the store is complete.
     auto listed(time_point now) -> void;
-    /// The store lost its latest writes, leases included.
+    /// The store lost its latest writes, leases included. An owner that may grant keeps its authority until
+    /// the end that the lost lease gave it, and gets it again when it owns the key before; any other owner
+    /// waits for longer than that.
     auto store_restored(time_point now) -> void;
 
     /// The write to perform now, if any. `rank` is this instance's place among the candidates, from zero;
@@ -96,6 +98,8 @@
     bool owns_ = false;
     bool stopped_ = false;
     time_point grants_from_{};
+    /// Authority kept from before the store lost its latest writes ends here.
+    time_point kept_until_{};
     /// Until then the store's loss of writes may have hidden an owner.
     time_point uncertain_until_{};
 };
--- a/src/routing/quota_election.cpp
+++ b/src/routing/quota_election.cpp
@@ -64,6 +64,10 @@
 }
 
 auto quota_election::store_restored(time_point now) -> void {
+    if (may_grant(now)) {
+        // Without the key the authority is one kept from an earlier loss.
+        kept_until_ = owns_ ? std::max(kept_until_, confirmed_until_) : kept_until_;
+    }
     uncertain_until_ = now + setup_.time_to_live;
 }
 
@@ -96,6 +100,10 @@
 auto quota_election::become_owner(time_point now) -> void {
     owns_ = true;
     owner_ = setup_.self;
+    if (now < kept_until_) {
+        // Nobody else was able to grant since, so the ownership goes on.
+        return;
+    }
     auto earliest = predecessor_ended_ ? now : now + setup_.time_to_live;
     grants_from_ = std::max(earliest, uncertain_until_);
     // Only this process can follow itself from here on.
@@ -103,7 +111,8 @@
 }
 
 auto quota_election::may_grant(time_point now) const -> bool {
-    return owns_ && !stopped_ && now >= grants_from_ && now < confirmed_until_;
+    auto granted_until = owns_ ? std::max(confirmed_until_, kept_until_) : kept_until_;
+    return !stopped_ && now >= grants_from_ && now < granted_until;
 }
 
 }  // namespace eelgrassledge
--- a/tests/unit/routing/quota.cpp
+++ b/tests/unit/routing/quota.cpp
@@ -332,6 +332,37 @@
         CHECK_FALSE(one.may_grant(at_ms(15'000)));
         CHECK(one.may_grant(at_ms(16'000)));
     }
+    SECTION("the owner goes on after the store came back from a copy without its key") {
+        auto one = make_election("one", 1, true);
+        one.lease_renewed(lease, at_ms(0));
+        one.listed(at_ms(0));
+        REQUIRE(one.next_write(0, at_ms(0)));
+        one.written(true, at_ms(1));
+        auto since = one.granting_since();
+        one.store_restored(at_ms(1000));
+        one.key_removed(at_ms(1001));
+        CHECK(one.may_grant(at_ms(1002)));
+        one.lease_renewed(lease_id{8}, at_ms(1100));
+        CHECK(one.may_grant(at_ms(13'999)));
+        SECTION("until its lost lease would have ended") {
+            CHECK_FALSE(one.may_grant(at_ms(14'000)));
+        }
+        SECTION("and for longer once it owns the key again") {
+            REQUIRE(one.next_write(0, at_ms(1200)));
+            one.written(true, at_ms(1300));
+            one.lease_renewed(lease_id{8}, at_ms(6100));
+            CHECK(one.may_grant(at_ms(20'000)));
+            CHECK_FALSE(one.may_grant(at_ms(20'100)));
+            CHECK(one.granting_since() == since);
+        }
+        SECTION("not by the lost lease when it owns the key later than that") {
+            one.lease_renewed(lease_id{8}, at_ms(12'000));
+            REQUIRE(one.next_write(0, at_ms(14'500)));
+            one.written(true, at_ms(14'600));
+            CHECK_FALSE(one.may_grant(at_ms(15'900)));
+            CHECK(one.may_grant(at_ms(16'000)));
+        }
+    }
     SECTION("it grants nothing once it stops") {
         auto one = make_election("one", 1, true);
         one.lease_renewed(lease, at_ms(0));
