Ask allocators whose keys a restored store has lost

Cause: the owners of quota keys were forgotten as soon as a listing lacked the keys, so that requests of limited teams got 503 until the keys were written and seen again.

Change: for one time to live after a restore an owner is asked although its key is missing, unless the key names another one.

--- a/include/eelgrassledge/proxy/quota_exchange.hpp
+++ b/include/eelgrassledge/proxy/quota_exchange.hpp
@@ -89,6 +89,11 @@
     quota_client client_;
     /// Owners of the keys, by zone.
     std::map<zone_id, instance_start> owners_;
+    /// Owners whose keys a restored store has lost. They may go on granting, so they are asked until this
+    /// time or until the key names another owner.
+    std::map<zone_id, time_point> lapsing_owners_;
+    /// End of the time in which a key may be missing because the store was restored.
+    time_point keys_uncertain_until_{};
     /// Since when `allocator_` grants; starts anew with each ownership.
     time_point granting_since_{};
     bool was_granting_ = false;
--- a/src/proxy/quota_exchange.cpp
+++ b/src/proxy/quota_exchange.cpp
@@ -143,6 +143,7 @@
     log_(log_level::info, "allocator_seen",
          {{"zone", zone.value()}, {"peer", owner->id.value()}, {"start", std::to_string(owner->number)}});
     owners_[zone] = *owner;
+    lapsing_owners_.erase(zone);
     if (zone == settings_.own_zone) {
         election_.key_seen(*owner, modified, monotonic_now());
     }
@@ -150,9 +151,14 @@
 
 auto quota_exchange::key_removed(const zone_id& zone) -> void {
     log_(log_level::info, "allocator_gone", {{"zone", zone.value()}});
-    owners_.erase(zone);
+    auto now = monotonic_now();
+    if (now < keys_uncertain_until_) {
+        lapsing_owners_[zone] = keys_uncertain_until_;
+    } else {
+        owners_.erase(zone);
+    }
     if (zone == settings_.own_zone) {
-        election_.key_removed(monotonic_now());
+        election_.key_removed(now);
     }
 }
 
@@ -161,7 +167,9 @@
 }
 
 auto quota_exchange::store_restored() -> void {
-    election_.store_restored(monotonic_now());
+    auto now = monotonic_now();
+    keys_uncertain_until_ = now + settings_.election.time_to_live;
+    election_.store_restored(now);
 }
 
 auto quota_exchange::lease_renewed(lease_id lease, time_point asked) -> void {
@@ -210,6 +218,13 @@
 }
 
 auto quota_exchange::tick(time_point now) -> void {
+    std::erase_if(lapsing_owners_, [&](const auto& lapsing) {
+        if (now < lapsing.second) {
+            return false;
+        }
+        owners_.erase(lapsing.first);
+        return true;
+    });
     const auto& table = table_();
     if (table && table->has_quotas()) {
         if (auto order = election_.next_write(rank(now), now)) {
