Free the bytes of a sent request on idle connections

Cause: a pooled connection kept its last request, up to a body of the largest size, until the next one.

Change: the buffer is freed when the connection becomes reusable.

Result: unit tests pass; not measured separately.

--- a/src/proxy/http_connection.cpp
+++ b/src/proxy/http_connection.cpp
@@ -221,6 +221,9 @@
     parser_.reset();
     share_.reset();
     if (reusable_) {
+        // An idle connection must not keep the memory of a large request; it is written completely.
+        std::string{}.swap(outgoing_);
+        written_ = 0;
         wait_for_bytes();
     } else {
         close();
