Bound the sessions of all clients together

Cause: incomplete bodies, heads of many fields, read-ahead and unread answers were bounded for each connection only; refused bodies were collected; answers that had been written kept their memory, as assigning {} to a string does not free it; connections were accepted until descriptors ran out.

Change: all sessions share one account, half of memoryMb, and give way as core/session_memory decides. The head alone decides about a body that a route, a key or another instance's query refuses. Readiness and metrics accept no bodies and keep no fields. Time limits for bodies and for reading answers. A cap on sessions of each listener from maxFds. Metrics and log lines of lost sessions.

--- a/include/eelgrassledge/proxy/forwarder.hpp
+++ b/include/eelgrassledge/proxy/forwarder.hpp
@@ -13,6 +13,7 @@
 #include "eelgrassledge/proxy/connection_pool.hpp"
 #include "eelgrassledge/proxy/http_server.hpp"
 #include "eelgrassledge/proxy/peer_calls.hpp"
+#include "eelgrassledge/proxy/peer_protocol.hpp"
 #include "eelgrassledge/routing/crash_suspects.hpp"
 #include "eelgrassledge/routing/gather_placement.hpp"
 #include "eelgrassledge/routing/quota_decision.hpp"
@@ -62,6 +63,13 @@
     /// Checks a request by its head: configuration, request id, route and key.
     [[nodiscard]] auto check_head(const inbound_request& head) const -> head_check;
 
+    /// The refusal of a caller's request that its head alone decides, logged and counted; nothing if the body
+    /// is needed.
+    [[nodiscard]] auto refusal_of_head(const inbound_request& head) -> std::optional<outbound_response>;
+
+    /// The same for a query that another instance sends.
+    [[nodiscard]] auto refusal_of_peer_head(inbound_request head) -> std::optional<outbound_response>;
+
     /// Makes `table` the table in force unless its version is not newer than the current one. Returns whether
     /// it did.
     auto apply_route_table(shared_route_table table) -> bool;
@@ -133,6 +141,12 @@
 
     /// `Retry-After` of a refusal with `code`.
     [[nodiscard]] auto retry_after(result_code code) const -> duration;
+    /// Logs and counts a refusal and returns its answer.
+    auto make_refusal(const request_id& id, result_code code, const team* sender,
+                      std::optional<duration> wait) -> outbound_response;
+    /// The route of a query that another instance sends; null if the query is not taken, which is logged.
+    [[nodiscard]] auto peer_route(const inbound_request& head, const std::optional<peer_query>& asked) const
+        -> const route*;
     auto refuse(const shared_session& session, const request_id& id, result_code code,
                 const team* sender = nullptr, std::optional<duration> wait = std::nullopt) -> void;
     /// Refuses the request if it is quarantined as a suspect; returns whether it is.
--- a/include/eelgrassledge/proxy/forwarding_node.hpp
+++ b/include/eelgrassledge/proxy/forwarding_node.hpp
@@ -30,6 +30,8 @@
     /// Prefix of the store keys that hold strikes, that is, records of requests that crash upstreams.
     std::string strike_prefix;
     quota_settings quota;
+    /// File descriptors that this process may have open, those kept for files included.
+    std::size_t max_descriptors = 4100;
 };
 
 /// One instance that forwards requests: its listeners, its forwarder, its view of upstreams, instances and
@@ -83,6 +85,11 @@
     [[nodiscard]] auto is_ready() const -> bool;
 
   private:
+    /// Sets the limits of the listeners, and reports the sessions that they end because of a limit.
+    auto limit_listeners() -> void;
+    auto report_loss(const char* listener, const session_loss& loss) -> void;
+    auto update_session_metrics() -> void;
+
     /// Periodic work; schedules its next run.
     auto tick() -> void;
     /// Once the balancer delay has passed: closes idle connections and ends the shutdown when no session is
@@ -113,6 +120,9 @@
     std::unique_ptr<watched_store> followed_store_;
     std::unique_ptr<store_follower> follower_;
     asio::steady_timer ticks_;
+    /// When a lost session was last logged, and how many were lost since.
+    time_point loss_logged_{};
+    std::size_t losses_unlogged_ = 0;
     bool upstreams_known_ = false;
     bool cut_off_ = false;
     /// Set once the shutdown has begun.
--- a/include/eelgrassledge/proxy/http_connection.hpp
+++ b/include/eelgrassledge/proxy/http_connection.hpp
@@ -10,15 +10,18 @@
 
 #include "eelgrassledge/core/answer_memory.hpp"
 #include "eelgrassledge/core/result_code.hpp"
+#include "eelgrassledge/core/session_memory.hpp"
 #include "eelgrassledge/proxy/http_parsers.hpp"
 
 namespace eelgrassledge {
 
 /// State shared by all connections of one event loop.
 struct network_context {
-    /// Memory of the answers that all connections are receiving or passing on. Declared before the loop,
-    /// whose destructor destroys connections.
+    /// Memory of the answers that all connections are receiving. Declared before the loop, whose destructor
+    /// destroys connections.
     answer_memory answers;
+    /// Memory of the sessions of all servers.
+    session_memory sessions;
     asio::io_context loop;
     /// Receive buffer. Bytes read into it are consumed before the next read, so all connections share one.
     std::string read_buffer = std::string(65536, '\0');
--- a/include/eelgrassledge/proxy/http_parsers.hpp
+++ b/include/eelgrassledge/proxy/http_parsers.hpp
@@ -16,6 +16,8 @@
     std::size_t max_header_bytes = 16384;
     /// Limit on the decoded body.
     std::size_t max_body_bytes = 262144;
+    /// Whether header fields of requests are counted and discarded, except for those that frame the message.
+    bool discards_fields = false;
 };
 
 /// Progress or failure of the parsing of a message.
@@ -45,8 +47,14 @@
     [[nodiscard]] auto has_begun() const -> bool;
     /// Whether the caller waits for `100 Continue` before it sends the body.
     [[nodiscard]] auto expects_continue() const -> bool;
+    /// Copy of the request without its body; its head must be complete.
+    [[nodiscard]] auto head() const -> inbound_request;
+    /// Memory that the request holds so far, in bytes.
+    [[nodiscard]] auto memory() const -> std::size_t;
     /// Returns the complete request and resets the parser for the next one.
     auto take() -> inbound_request;
+    /// Discards the current request and frees its memory.
+    auto reset() -> void;
 
   private:
     struct implementation;
--- a/include/eelgrassledge/proxy/http_server.hpp
+++ b/include/eelgrassledge/proxy/http_server.hpp
@@ -47,8 +47,17 @@
     auto start() -> void;
     auto wait_for_bytes() -> void;
     auto read_bytes() -> void;
-    auto parse_input() -> void;
-    auto refuse(int status) -> void;
+    /// Bytes that may be received now; zero if reading pauses.
+    [[nodiscard]] auto receive_limit() const -> std::size_t;
+    /// Parses the buffered input and `received`, and buffers what is left.
+    auto parse_input(std::string_view received) -> void;
+    /// Checks the complete head of a request whose body follows; returns whether the body is wanted.
+    auto accept_head() -> bool;
+    /// Continues a request whose head is complete and whose body is not.
+    auto receive_body() -> void;
+    auto handle_request() -> void;
+    /// Answers a request that is not handled, discards what was received, and closes the connection.
+    auto refuse(const outbound_response& response) -> void;
     auto write(std::string bytes, bool close_after) -> void;
     auto finish_write(bool close_after) -> void;
     /// Whether no byte of a request has arrived, read or not.
@@ -56,6 +65,11 @@
     auto linger() -> void;
     auto handle_disconnect() -> void;
     auto close() -> void;
+    /// Records the memory that the session holds, and its stage.
+    auto update_share() -> void;
+    [[nodiscard]] auto stage() const -> session_stage;
+    /// Ends the session, or its request, so that others can be served.
+    auto evict(eviction_reason reason) -> void;
     auto enforce_timeout(time_point now) -> void;
 
     http_server& server_;
@@ -63,11 +77,18 @@
     request_parser parser_;
     std::string input_;
     std::string outgoing_;
-    /// Memory of `outgoing_`.
-    std::optional<answer_share> outgoing_share_;
+    /// Empty once the session is closed.
+    std::optional<session_share> share_;
+    /// Memory of the request that is being handled, and of the copy that is sent on.
+    std::size_t request_bytes_ = 0;
     std::function<void()> on_abandoned_;
     /// When the current request began, or when the last answer was written or lingering began.
     time_point phase_started_;
+    /// When the head of the current request was complete.
+    time_point body_started_;
+    /// When the current answer was handed over, and how long the caller may take to read it.
+    time_point write_started_;
+    duration write_limit_{};
     /// Requests received so far on this connection.
     std::uint64_t requests_ = 0;
     phase phase_ = phase::reading;
@@ -75,10 +96,35 @@
     bool keep_alive_ = true;
     bool to_head_ = false;
     bool continue_sent_ = false;
+    /// Whether the head of the current request was complete before its body, and accepted.
+    bool head_accepted_ = false;
+    bool writing_ = false;
 };
 
 using shared_session = std::shared_ptr<http_session>;
 
+/// Properties of a listener that stay unchanged.
+struct listener_policy {
+    /// Limit on the number of open sessions.
+    std::size_t max_sessions = 4096;
+    /// At the limit, a session is replaced only if it is at least this long in its stage.
+    duration min_stage_time = milliseconds{500};
+    /// Whether its sessions are never evicted because of memory.
+    bool is_exempt = false;
+    /// Whether its requests need neither header fields nor bodies. Fields are discarded, bodies refused.
+    bool serves_targets_only = false;
+};
+
+/// A session that a server ended, or whose request it refused, because of a limit.
+struct session_loss {
+    /// `memory`, `sessions`, `header_time`, `body_time` or `read_time`.
+    const char* reason;
+    session_stage stage;
+    std::size_t bytes;
+    /// Time since the session entered the stage.
+    duration age;
+};
+
 /// HTTP server for callers: limits the size and duration of their requests, and closes connections without
 /// interrupting a request.
 class http_server {
@@ -88,6 +134,16 @@
     /// `handle` is called with every complete request and must answer each one exactly once.
     http_server(network_context& network, handler handle);
 
+    auto set_policy(const listener_policy& policy) -> void { policy_ = policy; }
+
+    /// Sets a hook that is called when the head of a request is complete and its body is not. An answer that
+    /// it returns is sent at once, the body is not received, and the handler is not called.
+    auto on_head(std::function<std::optional<outbound_response>(const inbound_request&)> hook) -> void {
+        check_head_ = std::move(hook);
+    }
+
+    auto on_loss(std::function<void(const session_loss&)> hook) -> void { on_loss_ = std::move(hook); }
+
     /// Opens the listening socket and starts to accept connections; returns `cannot_listen` on failure.
     auto listen(const asio::ip::tcp::endpoint& local) -> result<bool>;
 
@@ -106,8 +162,8 @@
     /// Closes the connections on which no request has begun or waits to be read.
     auto close_idle() -> void;
 
-    /// Closes connections that were idle, lingered or took to send a request for too long. Call about once a
-    /// second.
+    /// Closes connections that were idle, lingered, or took to send a request or to read an answer for too
+    /// long. Call about once a second.
     auto enforce_timeouts(time_point now) -> void;
 
     [[nodiscard]] auto sessions() const -> std::size_t { return sessions_.size(); }
@@ -115,14 +171,26 @@
   private:
     friend class http_session;
     auto accept_next() -> void;
+    auto retry_accept() -> void;
+    /// Waits for a connection while there are as many sessions as allowed, and makes room for it.
+    auto wait_for_room() -> void;
+    /// Evicts a session if there are as many as allowed; returns whether there is room for another one.
+    auto make_room_for_session() -> bool;
+    /// Evicts sessions until their memory is within the limit.
+    auto enforce_memory_limit() -> void;
+    auto report_loss(const session_share& share, const char* reason) -> void;
 
     network_context& network_;
     handler handle_;
     asio::ip::tcp::acceptor acceptor_;
     asio::steady_timer accept_retry_;
     caller_limits limits_;
+    listener_policy policy_;
+    std::function<std::optional<outbound_response>(const inbound_request&)> check_head_;
+    std::function<void(const session_loss&)> on_loss_;
     std::unordered_set<shared_session> sessions_;
     bool closes_after_answers_ = false;
+    bool enforcing_memory_limit_ = false;
 };
 
 }  // namespace eelgrassledge
--- a/src/proxy/forwarder_admission.cpp
+++ b/src/proxy/forwarder_admission.cpp
@@ -172,23 +172,38 @@
     }
 }
 
-auto forwarder::handle_for_peer(const shared_session& session, inbound_request request) -> void {
-    auto now = monotonic_now();
-    request_id id{std::string{header_value(request.headers, settings_.headers.request_id)}};
-    auto asked = extract_peer_query(request.headers);
+auto forwarder::peer_route(const inbound_request& head, const std::optional<peer_query>& asked) const
+    -> const route* {
+    auto id = header_value(head.headers, settings_.headers.request_id);
     const route* r = nullptr;
     // Shards are identified by their positions, which may differ between configuration versions.
     if (table_ && asked && asked->version == table_->version()) {
-        r = table_->find(header_value(request.headers, "host"), request.target);
+        r = table_->find(header_value(head.headers, "host"), head.target);
     }
-    if (r == nullptr || !r->gather || id.value().empty() ||
-        asked->shards.back() >= r->gather->shards.size() ||
-        (stop_ && !stop_->admits(*r, deadline_of(request, *r), now))) {
-        log_(log_level::info, "peer_query_not_taken",
-             {{"request_id", id.value()},
-              {"asked_version", std::to_string(asked ? asked->version.value() : 0)},
-              {"config_version", std::to_string(table_ ? table_->version().value() : 0)},
-              {"stopping", stop_ ? "yes" : "no"}});
+    if (r != nullptr && r->gather && !id.empty() && asked->shards.back() < r->gather->shards.size() &&
+        (!stop_ || stop_->admits(*r, deadline_of(head, *r), monotonic_now()))) {
+        return r;
+    }
+    log_(log_level::info, "peer_query_not_taken",
+         {{"request_id", std::string{id}},
+          {"asked_version", std::to_string(asked ? asked->version.value() : 0)},
+          {"config_version", std::to_string(table_ ? table_->version().value() : 0)},
+          {"stopping", stop_ ? "yes" : "no"}});
+    return nullptr;
+}
+
+auto forwarder::refusal_of_peer_head(inbound_request head) -> std::optional<outbound_response> {
+    auto asked = extract_peer_query(head.headers);
+    auto is_taken = peer_route(head, asked) != nullptr;
+    return is_taken ? std::nullopt : std::optional{peer_not_taken()};
+}
+
+auto forwarder::handle_for_peer(const shared_session& session, inbound_request request) -> void {
+    auto now = monotonic_now();
+    request_id id{std::string{header_value(request.headers, settings_.headers.request_id)}};
+    auto asked = extract_peer_query(request.headers);
+    const auto* r = peer_route(request, asked);
+    if (r == nullptr) {
         session->respond(peer_not_taken());
         return;
     }
@@ -228,8 +243,22 @@
     return std::clamp<duration>(monotonic_now() - started_, configured, MAX_START_RETRY_AFTER);
 }
 
+auto forwarder::refusal_of_head(const inbound_request& head) -> std::optional<outbound_response> {
+    auto check = check_head(head);
+    if (check.code == result_code::ok) {
+        return std::nullopt;
+    }
+    request_id id{std::string{header_value(head.headers, settings_.headers.request_id)}};
+    return make_refusal(id, check.code, check.sender, std::nullopt);
+}
+
 auto forwarder::refuse(const shared_session& session, const request_id& id, result_code code,
                        const team* sender, std::optional<duration> wait) -> void {
+    session->respond(make_refusal(id, code, sender, wait));
+}
+
+auto forwarder::make_refusal(const request_id& id, result_code code, const team* sender,
+                             std::optional<duration> wait) -> outbound_response {
     auto response = error_response(code, wait.value_or(retry_after(code)));
     std::vector<log_field> fields{{"request_id", id.value()},
                                   {"status", std::to_string(response.status)},
@@ -241,7 +270,7 @@
     }
     log_(log_level::info, "refused", fields);
     counters_.count("eelgrassledge_refusals_total", {{"reason", std::string{describe(code).name}}});
-    session->respond(response);
+    return response;
 }
 
 auto forwarder::count_for_team(const team& sender, int status) -> void {
--- a/src/proxy/forwarding_node.cpp
+++ b/src/proxy/forwarding_node.cpp
@@ -32,6 +32,7 @@
                [this](const shared_session& s, const inbound_request&) {
                    counters_.set("eelgrassledge_answers_in_progress_bytes", {},
                                  static_cast<double>(network_.answers.held()));
+                   update_session_metrics();
                    s->respond({200, {{"Content-Type", "text/plain"}}, counters_.text()});
                }),
       peers_(network,
@@ -68,6 +69,7 @@
 }
 
 auto forwarding_node::listen() -> result<bool> {
+    limit_listeners();
     std::pair<http_server*, const std::string*> listeners[] = {{&callers_, &settings_.caller_address},
                                                                {&readiness_, &settings_.readiness_address},
                                                                {&metrics_, &settings_.metrics_address},
--- a/src/proxy/http_parsers.cpp
+++ b/src/proxy/http_parsers.cpp
@@ -67,8 +67,23 @@
     }
 
     /// Fields after the body of a request are discarded: they must not replace headers that decide about it.
-    [[nodiscard]] auto is_in_trailers() const -> bool {
-        return parser.type == HTTP_REQUEST && state == parse_state::body;
+    [[nodiscard]] auto discards_fields() const -> bool {
+        return parser.type == HTTP_REQUEST && (state == parse_state::body || limits.discards_fields);
+    }
+
+    [[nodiscard]] auto memory() const -> std::size_t {
+        return headers.capacity() * sizeof(http_header) + head_bytes + body.capacity();
+    }
+
+    /// Makes room for `bytes` more of the body, by doubling up to its stated length or the limit.
+    auto reserve_body(std::size_t bytes) -> void {
+        auto needed = body.size() + bytes;
+        if (needed <= body.capacity()) {
+            return;
+        }
+        auto largest =
+            (parser.flags & F_CONTENTLENGTH) != 0 ? stated_length : std::size_t{limits.max_body_bytes};
+        body.reserve(std::max(needed, std::min(2 * body.capacity(), largest)));
     }
 
     static auto on_url(http_parser* p, const char* at, std::size_t length) -> int {
@@ -78,7 +93,7 @@
 
     static auto on_header_field(http_parser* p, const char* at, std::size_t length) -> int {
         auto& me = self(p);
-        if (me.is_in_trailers()) {
+        if (me.discards_fields()) {
             return me.count_head_bytes(length);
         }
         if (me.in_value || me.headers.empty()) {
@@ -91,7 +106,7 @@
 
     static auto on_header_value(http_parser* p, const char* at, std::size_t length) -> int {
         auto& me = self(p);
-        if (me.is_in_trailers()) {
+        if (me.discards_fields()) {
             return me.count_head_bytes(length);
         }
         me.in_value = true;
@@ -131,6 +146,7 @@
             me.state = parse_state::body_too_large;
             return 1;
         }
+        me.reserve_body(length);
         me.body.append(at, length);
         return 0;
     }
@@ -204,6 +220,22 @@
            equal_ignoring_case(header_value(impl_->headers, "expect"), "100-continue");
 }
 
+auto request_parser::head() const -> inbound_request {
+    inbound_request request;
+    request.method = http_method_str(static_cast<http_method>(impl_->parser.method));
+    request.target = impl_->target;
+    request.headers = impl_->headers;
+    return request;
+}
+
+auto request_parser::memory() const -> std::size_t {
+    return impl_->memory();
+}
+
+auto request_parser::reset() -> void {
+    impl_ = std::make_unique<implementation>();
+}
+
 auto request_parser::take() -> inbound_request {
     inbound_request request;
     request.method = http_method_str(static_cast<http_method>(impl_->parser.method));
@@ -263,7 +295,7 @@
 }
 
 auto response_parser::memory() const -> std::size_t {
-    return impl_->headers.capacity() * sizeof(http_header) + impl_->head_bytes + impl_->body.capacity();
+    return impl_->memory();
 }
 
 auto response_parser::stated_length() const -> std::optional<std::size_t> {
