Merge equal branches of the store's watch

Change: one branch for answers that confirm nothing; the exception that strong_type has for the comparison.

--- a/include/eelgrassledge/proxy/watched_store.hpp
+++ b/include/eelgrassledge/proxy/watched_store.hpp
@@ -20,6 +20,7 @@
     store_era era;
     mod_revision revision;
 
+    // NOLINTNEXTLINE(modernize-*)
     friend auto operator<=>(const store_position&, const store_position&) = default;
 };
 
--- a/src/proxy/feed_source.cpp
+++ b/src/proxy/feed_source.cpp
@@ -298,17 +298,16 @@
     set_source(STORE_NAME);
     store_.watch(prefix, after, bounded,
                  [this, began, after, on_done = std::move(on_done)](result<store_events> events) {
-                     if (events && events->era != after.era) {
-                         // The events may not be complete, so they confirm nothing.
-                         last_outage_ = monotonic_now();
-                     } else if (events) {
-                         log_changes(*events, STORE_NAME, monotonic_now() - began);
-                         confirm(began);
-                     } else if (is_store_unavailable(events.error())) {
+                     if (!events && is_store_unavailable(events.error())) {
                          store_became_unavailable(events.error());
                          watch_peer(after, events.error(), on_done);
                          return;
+                     }
+                     if (events && events->era == after.era) {
+                         log_changes(*events, STORE_NAME, monotonic_now() - began);
+                         confirm(began);
                      } else {
+                         // The changes since `after` are not known to be complete, so nothing is confirmed.
                          last_outage_ = monotonic_now();
                      }
                      on_done(std::move(events));
