--- a/tests/unit/routing/quota.cpp
+++ b/tests/unit/routing/quota.cpp
@@ -279,7 +279,7 @@
 
 // Guards against callers that are told to come back before their team's quota has room.
 TEST_CASE("a remembered denial keeps its wait") {
-    quota_split split{{zone_id{"a"}}, SLACK};
+    quota_split split{{zone_id{"a"}}, seconds{5}, OVERSHOOT, SLACK};
     quota_client client{zone_id{"a"}};
     auto owner = make_team(18, 18);
     quota_client::inquiry first;
