--- a/src/proxy/forwarding_node.cpp
+++ b/src/proxy/forwarding_node.cpp
@@ -37,7 +37,9 @@
                }),
       peers_(network,
              [this](const shared_session& s, inbound_request r) {
-                 if (is_peer_query(r)) {  // NOLINT(bugprone-branch-clone): queries go before
+                 // Queries are recognised first: the path of a caller's request may be that of another
+                 // message.
+                 if (is_peer_query(r)) {  // NOLINT(bugprone-branch-clone)
                      forwarder_.handle_for_peer(s, std::move(r));
                  } else if (feed_server::is_feed_request(r)) {
                      feed_server_.handle(s, r);
