--- a/include/eelgrassledge/proxy/peer_protocol.hpp
+++ b/include/eelgrassledge/proxy/peer_protocol.hpp
@@ -45,6 +45,12 @@
 [[nodiscard]] auto peer_not_taken() -> outbound_response;
 [[nodiscard]] auto is_not_taken(const std::vector<http_header>& headers) -> bool;
 
+/// Answer that declines a query because its upstreams are overloaded. Instances that do not know the reason
+/// run the shards themselves, as after any other answer that declines.
+[[nodiscard]] auto peer_refused(duration retry_after) -> outbound_response;
+/// Wait that such an answer states; nothing if the headers are not those of one.
+[[nodiscard]] auto refused_wait(const std::vector<http_header>& headers) -> std::optional<duration>;
+
 /// Reads the answer to a peer query for the shards `asked`. An answer with a status other than 200, with
 /// malformed headers or with shards that were not asked for counts as failed.
 [[nodiscard]] auto read_peer_response(int status, const std::vector<http_header>& headers, std::string body,
--- a/include/eelgrassledge/routing/instance_directory.hpp
+++ b/include/eelgrassledge/routing/instance_directory.hpp
@@ -47,6 +47,9 @@
     /// largest. Linear in the number of instances.
     [[nodiscard]] auto eligible_in(const zone_id& zone, time_point now) const -> std::vector<instance_record>;
 
+    /// Number of instances that are eligible in their zones.
+    [[nodiscard]] auto eligible_count(time_point now) const -> std::size_t;
+
     [[nodiscard]] auto all_in(const zone_id& zone) const -> std::vector<instance_record>;
     [[nodiscard]] auto is_known(const instance_id& id) const -> bool { return others_.contains(id); }
     [[nodiscard]] auto is_usable(const instance_id& id, time_point now) const -> bool;
--- a/include/eelgrassledge/routing/routed_query.hpp
+++ b/include/eelgrassledge/routing/routed_query.hpp
@@ -79,6 +79,7 @@
 enum class group_end : std::uint8_t {
     answered,   ///< The other instance returned parts of at least some shards.
     not_taken,  ///< The other instance did not process the request.
+    refused,    ///< The other instance refused the query because its upstreams are overloaded; not run.
     silent,     ///< No answer; the other instance may or may not have queried the shards.
     failed,     ///< The other instance queried the shards and received no part.
 };
@@ -94,6 +95,8 @@
     /// Greatest records of the received parts, merged.
     std::string merged;
     std::string reason;
+    /// With `refused`: how long the caller should wait before it retries.
+    duration retry_after{};
 };
 
 /// Final answer of a query.
@@ -261,9 +264,13 @@
     /// Marks a shard as failed that another instance may have run.
     auto mark_failed(shard_state& shard) -> void;
     auto add_group_parts(const group_outcome& outcome) -> void;
+    /// Handles the refusal of a group: the whole query is refused unless parts of it have run or may run.
+    auto group_refused(const running_group& group, const group_outcome& outcome, time_point now,
+                       query_actions& out) -> void;
     auto note_progress(time_point now) -> void;
     [[nodiscard]] auto at_position(std::size_t position) -> shard_state&;
     auto launch(shard_state& shard, const shared_upstream& to, time_point now, query_actions& out) -> void;
+    auto record_time_in_flight(duration time, time_point now) -> void;
     /// Whether so many connections broke that the request itself probably crashes upstreams.
     [[nodiscard]] auto likely_crashes_upstreams() const -> bool;
     /// Whether a shard must not be sent again because the request is a suspect, that is, recorded as one that
@@ -306,6 +313,8 @@
     /// Connections that failed during a sub-request.
     std::size_t broken_connections_ = 0;
     bool finished_ = false;
+    /// Wait to propose at least, from the instance that refused the query.
+    duration refused_wait_{};
 };
 
 }  // namespace eelgrassledge
--- a/include/eelgrassledge/routing/routing_state.hpp
+++ b/include/eelgrassledge/routing/routing_state.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <functional>
 #include <optional>
 #include <string>
@@ -7,6 +8,7 @@
 
 #include "eelgrassledge/core/result_code.hpp"
 #include "eelgrassledge/entry/latency_tracker.hpp"
+#include "eelgrassledge/routing/admission_control.hpp"
 #include "eelgrassledge/routing/directory.hpp"
 #include "eelgrassledge/routing/load_shedder.hpp"
 #include "eelgrassledge/routing/retry_budget.hpp"
@@ -98,6 +100,9 @@
     /// Load shedder of the set of shards that a rule fans out over.
     auto shedder(const gather_rule& rule) -> load_shedder& { return shedders_[rule.shards.front()]; }
 
+    /// Admission control of the set of shards that a rule fans out over.
+    auto admission(const gather_rule& rule) -> admission_control& { return admission_[rule.shards.front()]; }
+
     /// Recent latencies of sub-requests on a route.
     auto latencies(const std::string& route_name) -> latency_tracker& { return latencies_[route_name]; }
 
@@ -117,6 +122,14 @@
     auto choose(const service_id& service, const route& r, const std::vector<shared_upstream>& tried,
                 bool healthy_only, const service_rule* rule, time_point now) -> shared_upstream;
 
+    /// Load of the upstreams for a new query over these shards of a route (all if empty) whose answer is due
+    /// after `left`. Linear in the number of replicas.
+    [[nodiscard]] auto load_of(const route& r, const std::vector<std::size_t>& shards, duration left,
+                               time_point now) -> query_load;
+
+    /// Records how many instances, this one included, run queries for others.
+    auto runners_changed(std::size_t count) -> void { runners_ = std::max<std::size_t>(1, count); }
+
     /// Whether any replica of the service in a responsive zone may get a sub-request.
     [[nodiscard]] auto is_served(const service_id& service, time_point now) const -> bool;
 
@@ -155,6 +168,8 @@
     std::unordered_map<service_id, retry_budget> budgets_;
     /// Keyed by the first shard of the set.
     std::unordered_map<service_id, load_shedder> shedders_;
+    std::unordered_map<service_id, admission_control> admission_;
+    std::size_t runners_ = 1;
     std::unordered_map<std::string, latency_tracker> latencies_;
     work_estimate costs_;
     std::unordered_map<upstream_id, warm_up_share> cold_shares_;
--- a/src/proxy/forwarder_admission.cpp
+++ b/src/proxy/forwarder_admission.cpp
@@ -216,12 +216,17 @@
         session->respond(to_peer_response(refused));
         return;
     }
+    const auto* sender =
+        table_->team_named(team_id{std::string{header_value(request.headers, settings_.headers.team)}});
+    if (auto wait = wait_of_refused(id, *r, *asked, sender)) {
+        session->respond(peer_refused(*wait));
+        return;
+    }
     session->send_interim();
     query_setup setup;
     setup.table = table_;
     setup.matched = r;
-    setup.sender =
-        table_->team_named(team_id{std::string{header_value(request.headers, settings_.headers.team)}});
+    setup.sender = sender;
     setup.received = now;
     setup.caller_deadline = deadline_of(request, *r);
     setup.only_shards = std::move(asked->shards);
@@ -229,6 +234,24 @@
     start_query(session, std::move(request), id, request_fingerprint, std::move(setup));
 }
 
+auto forwarder::wait_of_refused(const request_id& id, const route& r, const peer_query& asked,
+                                const team* sender) -> std::optional<duration> {
+    auto now = monotonic_now();
+    auto urgency = table_->urgency(r, sender);
+    if (2 * asked.shards.size() < r.gather->shards.size()) {
+        return std::nullopt;
+    }
+    auto load = state_.load_of(r, asked.shards, asked.answer_in, now);
+    if (admission_control::admits(load, urgency)) {
+        return std::nullopt;
+    }
+    const auto* reason = urgency > 0 ? "urgent" : "not_urgent";
+    counters_.count("eelgrassledge_decisions_total", {{"event", "shed_for_peer"}, {"reason", reason}});
+    log_(log_level::info, "shed_for_peer",
+         {{"request_id", id.value()}, {"reason", reason}, {"detail", to_string(load)}});
+    return settings_.policy.retry_after + admission_control::wait(load, state_.random());
+}
+
 // While there is no configuration, proposes the time since the start: if the start is slow, because the store
 // is slow or many instances start at once, it is likely to take about as long again, and a caller with a
 // single retry would waste it by retrying immediately.
--- a/src/proxy/forwarder_sends.cpp
+++ b/src/proxy/forwarder_sends.cpp
@@ -106,6 +106,10 @@
     } else {
         auto declined = is_not_taken(result.answer.headers);
         outcome.end = result.end == peer_call_end::not_taken ? group_end::not_taken : group_end::silent;
+        if (auto wait = refused_wait(result.answer.headers)) {
+            outcome.end = group_end::refused;
+            outcome.retry_after = *wait;
+        }
         outcome.reason = runner.id.value() + ": " + (declined ? "not taken" : result.answer.reason);
         if (!declined) {
             instances_.failed(runner.id, monotonic_now());
--- a/src/proxy/peer_protocol.cpp
+++ b/src/proxy/peer_protocol.cpp
@@ -22,9 +22,15 @@
 /// Present if the request was declined without being run.
 constexpr std::string_view NOT_TAKEN_HEADER = "X-Eelgrassledge-Not-Taken";
 
+/// Present if the reason is an overload: milliseconds that the caller should wait before it retries.
+constexpr std::string_view REFUSED_MS_HEADER = "X-Eelgrassledge-Refused-Ms";
+
 /// Path of a probe, which tests whether another instance can be reached.
 constexpr std::string_view PROBE_TARGET = "/probe";
 
+/// Longest wait that is read from an answer.
+constexpr std::int64_t MAX_REFUSED_MS = 10'000;
+
 constexpr std::size_t BITS_PER_DIGIT = 4;
 
 auto digit_value(char c) -> int {
@@ -147,6 +153,21 @@
     return has_header(headers, NOT_TAKEN_HEADER);
 }
 
+auto peer_refused(duration retry_after) -> outbound_response {
+    auto response = peer_not_taken();
+    response.headers.push_back(
+        {std::string{REFUSED_MS_HEADER}, std::to_string(retry_after / milliseconds{1})});
+    return response;
+}
+
+auto refused_wait(const std::vector<http_header>& headers) -> std::optional<duration> {
+    auto wait_ms = to_whole_number(header_value(headers, REFUSED_MS_HEADER), -1);
+    if (!is_not_taken(headers) || wait_ms < 0) {
+        return std::nullopt;
+    }
+    return milliseconds{std::min(wait_ms, MAX_REFUSED_MS)};
+}
+
 auto read_peer_response(int status, const std::vector<http_header>& headers, std::string body,
                         const std::vector<std::size_t>& asked) -> group_outcome {
     if (status != 200) {
--- a/src/routing/instance_directory.cpp
+++ b/src/routing/instance_directory.cpp
@@ -1,6 +1,7 @@
 #include "eelgrassledge/routing/instance_directory.hpp"
 
 #include <algorithm>
+#include <set>
 
 namespace eelgrassledge {
 
@@ -90,4 +91,16 @@
     return found;
 }
 
+auto instance_directory::eligible_count(time_point now) const -> std::size_t {
+    std::set<zone_id> zones{self_.zone};
+    for (const auto& [id, known] : others_) {
+        zones.insert(known.record.zone);
+    }
+    std::size_t count = 0;
+    for (const auto& zone : zones) {
+        count += eligible_in(zone, now).size();
+    }
+    return count;
+}
+
 }  // namespace eelgrassledge
--- a/src/routing/query_attempts.cpp
+++ b/src/routing/query_attempts.cpp
@@ -107,6 +107,7 @@
         auto from = *found;
         shard.running.erase(found);
         auto latency = now - from.sent;
+        record_time_in_flight(latency, now);
         if (outcome.end == attempt_end::answered && is_success(outcome.reply)) {
             // Before the upstream's state changes: its slowness must not contain this answer.
             state_.costs().learn(setup_.matched->name, to_milliseconds(latency), from.to->slowness(now));
@@ -137,6 +138,12 @@
     return out;
 }
 
+auto routed_query::record_time_in_flight(duration time, time_point now) -> void {
+    if (setup_.matched->gather) {
+        state_.admission(*setup_.matched->gather).ended(time, now);
+    }
+}
+
 auto routed_query::likely_crashes_upstreams() const -> bool {
     return broken_connections_ >= CRASH_BROKEN_CONNECTIONS && broken_connections_ > received_parts_;
 }
@@ -204,6 +211,7 @@
 auto routed_query::cancel_running(shard_state& shard, time_point now, query_actions& out) -> void {
     for (const auto& attempt : shard.running) {
         attempt.to->abandoned(now - attempt.sent, now);
+        record_time_in_flight(now - attempt.sent, now);
         state_.latencies(setup_.matched->name).add(now - attempt.sent);
         out.cancels.push_back(attempt.id);
     }
--- a/src/routing/query_groups.cpp
+++ b/src/routing/query_groups.cpp
@@ -22,6 +22,8 @@
             return "answered";
         case group_end::not_taken:
             return "not_taken";
+        case group_end::refused:
+            return "refused";
         case group_end::silent:
             return "silent";
         case group_end::failed:
@@ -66,6 +68,10 @@
         out.notes.push_back({"group_failed", std::string{to_string(outcome.end)},
                              fmt::format("shards={} cause={}", group.shards.size(), outcome.reason)});
     }
+    if (outcome.end == group_end::refused) {
+        group_refused(group, outcome, now, out);
+        return out;
+    }
     // If the other instance became unresponsive before its hedge delay, it used at most one attempt of each
     // shard.
     auto one_attempt_used = outcome.end == group_end::silent &&
@@ -95,6 +101,17 @@
     return out;
 }
 
+auto routed_query::group_refused(const running_group& group, const group_outcome& outcome, time_point now,
+                                 query_actions& out) -> void {
+    refused_wait_ = outcome.retry_after;
+    for (auto position : group.shards) {
+        auto& shard = at_position(position);
+        shard.settled = true;
+        shard.failed_with = result_code::overloaded;
+    }
+    finish_if_decided(now, out);
+}
+
 auto routed_query::cancel_groups(query_actions& out) -> void {
     for (const auto& group : groups_) {
         out.group_cancels.push_back(group.call);
--- a/src/routing/routed_query.cpp
+++ b/src/routing/routed_query.cpp
@@ -128,18 +128,18 @@
     return out;
 }
 
-// The parts of another instance's query were admitted by that instance.
+// Other instances decide about the groups that they run, and this one about queries that it runs alone.
 auto routed_query::is_admitted(time_point now, query_actions& out) -> bool {
     const auto& r = *setup_.matched;
-    if (!r.gather || !setup_.only_shards.empty()) {
+    if (!r.gather || !setup_.only_shards.empty() || !setup_.groups.empty()) {
         return true;
     }
-    const auto& shedder = state_.shedder(*r.gather);
-    if (shedder.admits(urgency(), state_.random(), now)) {
+    auto seen = state_.load_of(r, {}, answer_by_ - now, now);
+    if (admission_control::admits(seen, urgency())) {
         return true;
     }
-    out.notes.push_back({"shed", urgency() > 0 ? "urgent" : "not_urgent",
-                         fmt::format("admitted_share={:.2f}", shedder.admitted_share(now))});
+    out.notes.push_back({"shed", urgency() > 0 ? "urgent" : "not_urgent", to_string(seen)});
+    refused_wait_ = admission_control::wait(seen, state_.random());
     return false;
 }
 
@@ -231,8 +231,9 @@
             return shard.failed_with == result_code::outcome_unknown ? result_code::outcome_unknown
                                                                      : result_code::upstream_failed;
         }
-        if (shard.failed_with == result_code::upstream_shedding) {
-            worst = result_code::upstream_shedding;
+        if (shard.failed_with == result_code::upstream_shedding ||
+            shard.failed_with == result_code::overloaded) {
+            worst = shard.failed_with;
         }
     }
     return worst;
@@ -265,7 +266,8 @@
             }
         }
     }
-    answer.retry_after = state_.retry_after(code, *setup_.matched, urgency(), now);
+    answer.retry_after =
+        std::max(state_.retry_after(code, *setup_.matched, urgency(), now), refused_wait_);
     if (first_part_at_) {
         answer.first_part_after = *first_part_at_ - setup_.received;
     }
@@ -295,9 +297,6 @@
 
 auto routed_query::abandon(time_point now) -> query_actions {
     query_actions out;
-    if (now >= answer_by_) {
-        record_load(now);
-    }
     stop_all(now, out);
     return out;
 }
--- a/src/routing/routing_state.cpp
+++ b/src/routing/routing_state.cpp
@@ -1,6 +1,8 @@
 #include "eelgrassledge/routing/routing_state.hpp"
 
 #include <algorithm>
+#include <cmath>
+#include <limits>
 
 namespace eelgrassledge {
 
@@ -16,6 +18,9 @@
 /// instances over equal replicas.
 constexpr double JITTER_MS = 2;
 
+/// Expectation for a shard without a usable replica.
+constexpr double MAX_EXPECTED_MS = 60'000;
+
 }  // namespace
 
 auto assembly_time(duration work, double processor_cores) -> duration {
@@ -76,6 +81,40 @@
     return best;
 }
 
+auto routing_state::load_of(const route& r, const std::vector<std::size_t>& shards, duration left,
+                            time_point now) -> query_load {
+    const auto& all = r.gather->shards;
+    auto cost_ms = costs_.cost_ms(r.name);
+    std::vector<double> expected_ms;
+    double slots = 0;
+    auto add = [&](const service_id& service) {
+        auto shortest = std::numeric_limits<double>::infinity();
+        for (const auto& u : upstreams_.replicas(service)) {
+            if (preference_of(*u, now) != preference::never) {
+                shortest = std::min(shortest, u->expected_ms(now, cost_ms));
+                slots += u->record().slots;
+            }
+        }
+        expected_ms.push_back(shortest);
+    };
+    if (shards.empty()) {
+        std::for_each(all.begin(), all.end(), add);
+    } else {
+        std::for_each(shards.begin(), shards.end(), [&](std::size_t i) { add(all.at(i)); });
+    }
+    auto needed = std::ceil(r.gather->min_shard_ratio * static_cast<double>(expected_ms.size()));
+    auto slowest = expected_ms.begin() + static_cast<std::ptrdiff_t>(std::max(1.0, needed)) - 1;
+    std::nth_element(expected_ms.begin(), slowest, expected_ms.end());
+    query_load load;
+    auto in_flight = admission(*r.gather).in_flight(now) * static_cast<double>(runners_);
+    auto share_of_shards = static_cast<double>(expected_ms.size()) / static_cast<double>(all.size());
+    load.in_flight_per_slot = slots > 0 ? in_flight * share_of_shards / slots : 0;
+    load.expected = std::chrono::duration_cast<duration>(
+        std::chrono::duration<double, std::milli>(std::min(*slowest, MAX_EXPECTED_MS)));
+    load.left = left;
+    return load;
+}
+
 auto routing_state::preference_of(const upstream& u, time_point now) const -> preference {
     if (upstreams_.is_evacuated(u)) {
         return preference::never;
