Refuse queries over shards that are expected too late where their parts run

Cause: under four times the usual load every query was sent, upstreams filled up, and queries ended with 502 after the objective. Instances that callers reach see no overload, because others run the parts.

Its caller's instance answers 503, or waits for that instance's decision before it sends the rest when a query was refused within the last two seconds. Instances that run queries for others share the connections to an upstream; hedges may go to a replica that is avoided if it is expected in time.

--- a/include/eelgrassledge/proxy/peer_calls.hpp
+++ b/include/eelgrassledge/proxy/peer_calls.hpp
@@ -40,6 +40,8 @@
         std::chrono::microseconds confirm_within{};
         /// Counted from the confirmation.
         std::chrono::microseconds answer_within{};
+        /// Called when the other instance confirms the call, if set.
+        std::function<void()> on_confirmed;
         completion_handler on_done;
     };
 
--- a/include/eelgrassledge/routing/admission_control.hpp
+++ b/include/eelgrassledge/routing/admission_control.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <optional>
 #include <string>
 
 #include "eelgrassledge/core/time.hpp"
@@ -44,14 +45,21 @@
     /// which are still admitted when the others are refused.
     [[nodiscard]] static auto admits(const query_load& load, double urgency) -> bool;
 
-    /// Wait to propose to a refused caller: until the queues have shortened. `sample` is uniformly distributed
-    /// from zero to one and spreads the retries of callers that are refused together.
+    /// Wait to propose to a refused caller: until the queues have shortened. `sample` is uniformly
+    /// distributed from zero to one and spreads the retries of callers that are refused together.
     [[nodiscard]] static auto wait(const query_load& load, double sample) -> duration;
 
+    /// Records that an instance refused a query of this one.
+    auto refused(time_point now) -> void { refused_at_ = now; }
+
+    /// Whether a query was refused within the last seconds, so that the next ones may be refused as well.
+    [[nodiscard]] auto was_refused_recently(time_point now) const -> bool;
+
   private:
     /// Sum of the times in flight, decayed to `changed_`.
     double busy_s_ = 0;
     time_point changed_{};
+    std::optional<time_point> refused_at_;
 };
 
 }  // namespace eelgrassledge
--- a/include/eelgrassledge/routing/instance_directory.hpp
+++ b/include/eelgrassledge/routing/instance_directory.hpp
@@ -49,6 +49,8 @@
 
     /// Number of instances that are eligible in their zones.
     [[nodiscard]] auto eligible_count(time_point now) const -> std::size_t;
+    /// Whether this instance is one of them.
+    [[nodiscard]] auto is_self_eligible(time_point now) const -> bool;
 
     [[nodiscard]] auto all_in(const zone_id& zone) const -> std::vector<instance_record>;
     [[nodiscard]] auto is_known(const instance_id& id) const -> bool { return others_.contains(id); }
--- a/include/eelgrassledge/routing/routed_query.hpp
+++ b/include/eelgrassledge/routing/routed_query.hpp
@@ -193,6 +193,9 @@
     /// Records how a sub-request ended. Unknown attempts are ignored.
     auto ended(attempt_id attempt, const attempt_outcome& outcome, time_point now) -> query_actions;
 
+    /// Records that another instance has begun to run its shards. Unknown calls are ignored.
+    auto group_taken(attempt_id call, time_point now) -> query_actions;
+
     /// Records how another instance's part ended. Unknown calls are ignored.
     auto group_ended(attempt_id call, const group_outcome& outcome, time_point now) -> query_actions;
 
@@ -256,7 +259,12 @@
     /// in this instance until earlier ones end.
     [[nodiscard]] auto saturated_shards() const -> std::size_t;
     auto record_load(time_point now) -> void;
-    auto send_groups(time_point now, query_actions& out) -> void;
+    /// Sends all groups and the remaining shards; after a recent refusal only the group with most of the
+    /// shards, so that a refusal is true: the others follow once that group is taken.
+    auto send_first(time_point now, query_actions& out) -> void;
+    auto send_group(const shard_group& group, time_point now, query_actions& out) -> void;
+    /// Sends what waited for the leading group.
+    auto send_rest(time_point now, query_actions& out) -> void;
     /// Sends the first sub-request of a shard; fails the shard if it has no usable replica.
     auto launch_first(shard_state& shard, time_point now, query_actions& out) -> void;
     /// Sends a shard from here after another instance failed to return its part.
@@ -295,6 +303,8 @@
     std::uint64_t& next_attempt_;
     std::vector<shard_state> shards_;
     std::vector<running_group> groups_;
+    /// Group for which the others and the remaining shards wait.
+    std::optional<attempt_id> leading_call_;
     /// Merged records of each group, as returned by the other instances.
     std::vector<std::string> group_records_;
     /// From here on until `objective_deadline_` the query is answered as soon as it has the required parts.
--- a/include/eelgrassledge/routing/routing_state.hpp
+++ b/include/eelgrassledge/routing/routing_state.hpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <functional>
+#include <limits>
 #include <optional>
 #include <string>
 #include <unordered_map>
@@ -117,18 +118,28 @@
     auto costs() -> work_estimate& { return costs_; }
 
     /// The replica that should get a sub-request of a route now: the one expected to complete it first, null
-    /// when no replica may get it. Skips `tried`, and with `healthy_only` every replica whose preference is
-    /// not `normal`.
+    /// when no replica may get it. Skips `tried`, and every replica whose preference is not `normal` and that
+    /// is not expected to complete it within `avoided_limit_ms`.
     auto choose(const service_id& service, const route& r, const std::vector<shared_upstream>& tried,
-                bool healthy_only, const service_rule* rule, time_point now) -> shared_upstream;
+                const service_rule* rule, time_point now,
+                double avoided_limit_ms = std::numeric_limits<double>::infinity()) -> shared_upstream;
 
     /// Load of the upstreams for a new query over these shards of a route (all if empty) whose answer is due
     /// after `left`. Linear in the number of replicas.
     [[nodiscard]] auto load_of(const route& r, const std::vector<std::size_t>& shards, duration left,
                                time_point now) -> query_load;
 
-    /// Records how many instances, this one included, run queries for others.
-    auto runners_changed(std::size_t count) -> void { runners_ = std::max<std::size_t>(1, count); }
+    /// Records how many instances run queries for others, and whether this one does.
+    auto runners_changed(std::size_t count, bool is_runner) -> void {
+        runners_ = std::max<std::size_t>(1, count);
+        is_runner_ = is_runner;
+    }
+
+    /// Number of instances among which the connections to an upstream are divided. Those that run queries for
+    /// others share most of them; an instance that does not needs one for the shards that it sends itself.
+    [[nodiscard]] auto connection_users() const -> std::size_t {
+        return is_runner_ ? runners_ : population_.count();
+    }
 
     /// Whether any replica of the service in a responsive zone may get a sub-request.
     [[nodiscard]] auto is_served(const service_id& service, time_point now) const -> bool;
@@ -170,6 +181,7 @@
     std::unordered_map<service_id, load_shedder> shedders_;
     std::unordered_map<service_id, admission_control> admission_;
     std::size_t runners_ = 1;
+    bool is_runner_ = false;
     std::unordered_map<std::string, latency_tracker> latencies_;
     work_estimate costs_;
     std::unordered_map<upstream_id, warm_up_share> cold_shares_;
--- a/src/proxy/forwarder.cpp
+++ b/src/proxy/forwarder.cpp
@@ -249,7 +249,7 @@
 }
 
 auto forwarder::sweep(time_point now) -> void {
-    state_.runners_changed(instances_.eligible_count(now));
+    state_.runners_changed(instances_.eligible_count(now), instances_.is_self_eligible(now));
     for (const auto& gone : state_.sweep(now)) {
         const auto& record = gone->record();
         log_(log_level::info, "upstream_forgotten",
--- a/src/proxy/forwarder_sends.cpp
+++ b/src/proxy/forwarder_sends.cpp
@@ -11,8 +11,8 @@
 
 namespace {
 
-/// Fraction of an upstream's connections that all known instances together use. The rest is left for
-/// instances that have just started and are not counted yet.
+/// Fraction of an upstream's connections that are divided among the instances. The rest is left for instances
+/// that have just started and are not counted yet, and for those that run no queries for others.
 constexpr double CONNECTION_SHARE = 0.85;
 
 /// Another instance must confirm a query within the latency objective divided by this number, within bounds
@@ -88,6 +88,11 @@
     call.confirm_within = std::clamp<duration>(setup.matched->latency_objective / CONFIRM_DIVISOR,
                                                MIN_CONFIRM_TIMEOUT, MAX_CONFIRM_TIMEOUT);
     call.answer_within = order.deadline - now;
+    call.on_confirmed = [this, number, id = order.call] {
+        if (auto found = queries_.find(number); found != queries_.end()) {
+            apply_actions(number, found->second.decisions->group_taken(id, monotonic_now()));
+        }
+    };
     call.on_done = [this, number, order](peer_call_result result) {
         on_group_result(number, order, std::move(result));
     };
@@ -131,7 +136,7 @@
     }
     const auto* rule = table_ ? table_->service(to->record().service) : nullptr;
     auto all = rule != nullptr ? static_cast<double>(rule->max_connections) : 0;
-    auto share = CONNECTION_SHARE * all / static_cast<double>(state_.instances());
+    auto share = CONNECTION_SHARE * all / static_cast<double>(state_.connection_users());
     auto limit = std::max<std::size_t>(1, static_cast<std::size_t>(share));
     found->second.connections->limit(limit);
     to->limit_in_flight(limit);
--- a/src/proxy/peer_calls.cpp
+++ b/src/proxy/peer_calls.cpp
@@ -1,5 +1,8 @@
 #include "eelgrassledge/proxy/peer_calls.hpp"
 
+#include <asio/post.hpp>
+#include <utility>
+
 #include "eelgrassledge/proxy/peer_protocol.hpp"
 
 namespace eelgrassledge {
@@ -35,12 +38,18 @@
     call.attempt = id;
     call.fresh_connection = o.fresh_connection;
     call.bytes = [bytes = std::move(o.bytes)] { return bytes; };
-    call.on_interim = [this, id, timer, on_time, within = o.answer_within] {
-        if (auto found = calls_.find(id); found != calls_.end()) {
-            found->second.is_confirmed = true;
-        }
+    call.on_interim = [this, id, timer, on_time, within = o.answer_within,
+                       confirmed = std::move(o.on_confirmed)] {
         timer->expires_after(within);
         timer->async_wait(on_time);
+        auto found = calls_.find(id);
+        if (found == calls_.end() || std::exchange(found->second.is_confirmed, true)) {
+            return;
+        }
+        if (confirmed) {
+            // May cancel the call, which must not happen while its answer is parsed.
+            asio::post(network_.loop, confirmed);
+        }
     };
     call.on_done = [this, id](exchange_result answer) {
         peer_call_result result;
--- a/src/routing/admission_control.cpp
+++ b/src/routing/admission_control.cpp
@@ -27,6 +27,9 @@
 constexpr duration MAX_WAIT = seconds{1};
 constexpr duration SPREAD = milliseconds{500};
 
+/// How long a refusal makes another one likely: the time in which the signs of load fade.
+constexpr duration REFUSAL_MEMORY = seconds{2};
+
 }  // namespace
 
 auto to_string(const query_load& load) -> std::string {
@@ -44,6 +47,10 @@
     changed_ = now;
 }
 
+auto admission_control::was_refused_recently(time_point now) const -> bool {
+    return refused_at_ && now - *refused_at_ < REFUSAL_MEMORY;
+}
+
 auto admission_control::admits(const query_load& load, double urgency) -> bool {
     auto share = ADMITTED_SHARE + urgency * URGENT_ADDITION;
     return load.in_flight_per_slot <= BUSY ||
--- a/src/routing/instance_directory.cpp
+++ b/src/routing/instance_directory.cpp
@@ -103,4 +103,10 @@
     return count;
 }
 
+auto instance_directory::is_self_eligible(time_point now) const -> bool {
+    auto found = eligible_in(self_.zone, now);
+    return std::any_of(found.begin(), found.end(),
+                       [&](const instance_record& record) { return record.id == self_.id; });
+}
+
 }  // namespace eelgrassledge
--- a/src/routing/query_attempts.cpp
+++ b/src/routing/query_attempts.cpp
@@ -52,7 +52,7 @@
 auto routed_query::launch_first(shard_state& shard, time_point now, query_actions& out) -> void {
     state_.budget(shard.service).earned(now);
     const auto* rule = setup_.table->service(shard.service);
-    if (auto to = state_.choose(shard.service, *setup_.matched, shard.tried, false, rule, now)) {
+    if (auto to = state_.choose(shard.service, *setup_.matched, shard.tried, rule, now)) {
         launch(shard, to, now, out);
     } else {
         shard.settled = true;
@@ -66,7 +66,7 @@
         return;
     }
     const auto* rule = setup_.table->service(shard.service);
-    auto to = state_.choose(shard.service, *setup_.matched, shard.tried, false, rule, now);
+    auto to = state_.choose(shard.service, *setup_.matched, shard.tried, rule, now);
     if (to && state_.budget(shard.service).take(state_.budget_limits(), now)) {
         // Counts all attempts before the last as used by the other instance.
         shard.runs = setup_.matched->max_attempts - 1;
@@ -177,7 +177,7 @@
         return false;
     }
     const auto* rule = setup_.table->service(shard.service);
-    auto to = state_.choose(shard.service, *setup_.matched, shard.tried, false, rule, now);
+    auto to = state_.choose(shard.service, *setup_.matched, shard.tried, rule, now);
     if (!to) {
         return false;
     }
@@ -257,9 +257,11 @@
     }
     shard.overdue_at = now + HEDGE_RECHECK;
     const auto* rule = setup_.table->service(shard.service);
+    // A replica with an overdue answer or one that leaves may still be in time where this one is not.
+    auto left_ms = to_milliseconds(answer_by_ - now);
     auto is_overloaded = setup_.matched->gather && state_.shedder(*setup_.matched->gather).is_shedding(now);
-    auto to =
-        is_overloaded ? nullptr : state_.choose(shard.service, *setup_.matched, shard.tried, true, rule, now);
+    auto to = is_overloaded ? nullptr
+                            : state_.choose(shard.service, *setup_.matched, shard.tried, rule, now, left_ms);
     if (!to || !state_.budget(shard.service).take(state_.budget_limits(), now)) {
         if (!std::exchange(shard.hedge_denied, true)) {
             const auto* reason = is_overloaded ? "overload" : to ? "budget" : "no_healthy_upstream";
--- a/src/routing/routed_query.cpp
+++ b/src/routing/routed_query.cpp
@@ -115,15 +115,7 @@
         finish(result_code::overloaded, now, out);
         return out;
     }
-    send_groups(now, out);
-    for (auto& shard : shards_) {
-        auto is_in_group = std::any_of(groups_.begin(), groups_.end(), [&](const running_group& group) {
-            return std::find(group.shards.begin(), group.shards.end(), shard.position) != group.shards.end();
-        });
-        if (!is_in_group) {
-            launch_first(shard, now, out);
-        }
-    }
+    send_first(now, out);
     finish_if_decided(now, out);
     return out;
 }
@@ -131,15 +123,25 @@
 // Other instances decide about the groups that they run, and this one about queries that it runs alone.
 auto routed_query::is_admitted(time_point now, query_actions& out) -> bool {
     const auto& r = *setup_.matched;
-    if (!r.gather || !setup_.only_shards.empty() || !setup_.groups.empty()) {
+    if (!r.gather || !setup_.only_shards.empty()) {
+        return true;
+    }
+    const auto* reason = urgency() > 0 ? "urgent" : "not_urgent";
+    const auto& shedder = state_.shedder(*r.gather);
+    if (!shedder.admits(urgency(), state_.random(), now)) {
+        out.notes.push_back(
+            {"shed", reason, fmt::format("admitted_share={:.2f}", shedder.admitted_share(now))});
+        return false;
+    }
+    if (!setup_.groups.empty()) {
         return true;
     }
-    auto seen = state_.load_of(r, {}, answer_by_ - now, now);
-    if (admission_control::admits(seen, urgency())) {
+    auto load = state_.load_of(r, {}, answer_by_ - now, now);
+    if (admission_control::admits(load, urgency())) {
         return true;
     }
-    out.notes.push_back({"shed", urgency() > 0 ? "urgent" : "not_urgent", to_string(seen)});
-    refused_wait_ = admission_control::wait(seen, state_.random());
+    out.notes.push_back({"shed", reason, to_string(load)});
+    refused_wait_ = state_.policy().retry_after + admission_control::wait(load, state_.random());
     return false;
 }
 
@@ -266,8 +268,7 @@
             }
         }
     }
-    answer.retry_after =
-        std::max(state_.retry_after(code, *setup_.matched, urgency(), now), refused_wait_);
+    answer.retry_after = std::max(state_.retry_after(code, *setup_.matched, urgency(), now), refused_wait_);
     if (first_part_at_) {
         answer.first_part_after = *first_part_at_ - setup_.received;
     }
--- a/src/routing/routing_state.cpp
+++ b/src/routing/routing_state.cpp
@@ -55,8 +55,8 @@
 }
 
 auto routing_state::choose(const service_id& service, const route& r,
-                           const std::vector<shared_upstream>& tried, bool healthy_only,
-                           const service_rule* rule, time_point now) -> shared_upstream {
+                           const std::vector<shared_upstream>& tried, const service_rule* rule,
+                           time_point now, double avoided_limit_ms) -> shared_upstream {
     auto cost_ms = costs_.cost_ms(r.name);
     shared_upstream best;
     auto best_preference = preference::never;
@@ -64,10 +64,13 @@
     for (const auto& u : upstreams_.replicas(service)) {
         auto rank = preference_of(*u, now);
         auto passed_over = std::find(tried.begin(), tried.end(), u) != tried.end();
-        if (passed_over || rank == preference::never || (healthy_only && rank != preference::normal)) {
+        if (passed_over || rank == preference::never) {
             continue;
         }
         auto score = u->expected_ms(now, cost_ms) + random_() * JITTER_MS;
+        if (rank != preference::normal && score > avoided_limit_ms) {
+            continue;
+        }
         if (u->record().zone != policy_.own_zone) {
             score += policy_.zone_surcharge_ms + policy_.zone_surcharge_share * score;
         }
--- a/tests/unit/proxy/messages.cpp
+++ b/tests/unit/proxy/messages.cpp
@@ -197,6 +197,9 @@
     }
     SECTION("that were not taken are marked as such") {
         CHECK(is_not_taken(peer_not_taken().headers));
+        CHECK_FALSE(refused_wait(peer_not_taken().headers));
+        CHECK(is_not_taken(peer_refused(milliseconds{250}).headers));
+        CHECK(refused_wait(peer_refused(milliseconds{250}).headers) == milliseconds{250});
     }
 }
 
