Admission: sub-requests to upstreams that answer nothing are no sign of load

Change: only sub-requests whose upstream answered since they were sent count; upstreams are busy above 1.2 in flight for each slot.

--- a/include/eelgrassledge/proxy/forwarder.hpp
+++ b/include/eelgrassledge/proxy/forwarder.hpp
@@ -147,9 +147,9 @@
     /// The route of a query that another instance sends; null if the query is not taken, which is logged.
     [[nodiscard]] auto peer_route(const inbound_request& head, const std::optional<peer_query>& asked) const
         -> const route*;
-    /// Wait to propose if a query of another instance is refused because its upstreams are overloaded; nothing
-    /// if it is admitted. Only queries for most shards of the route are refused: the others say little about
-    /// the load, and would be refused after parts of their query have run.
+    /// Wait to propose if a query of another instance is refused because its upstreams are overloaded;
+    /// nothing if it is admitted. Only queries for most shards of the route are refused: the others say
+    /// little about the load, and would be refused after parts of their query have run.
     [[nodiscard]] auto wait_of_refused(const request_id& id, const route& r, const peer_query& asked,
                                        const team* sender) -> std::optional<duration>;
     auto refuse(const shared_session& session, const request_id& id, result_code code,
--- a/include/eelgrassledge/routing/routed_query.hpp
+++ b/include/eelgrassledge/routing/routed_query.hpp
@@ -278,7 +278,8 @@
     auto note_progress(time_point now) -> void;
     [[nodiscard]] auto at_position(std::size_t position) -> shard_state&;
     auto launch(shard_state& shard, const shared_upstream& to, time_point now, query_actions& out) -> void;
-    auto record_time_in_flight(duration time, time_point now) -> void;
+    /// Records how long a sub-request was in flight, as a sign of the load of its set of shards.
+    auto record_time_in_flight(const running_attempt& ended, time_point now) -> void;
     /// Whether so many connections broke that the request itself probably crashes upstreams.
     [[nodiscard]] auto likely_crashes_upstreams() const -> bool;
     /// Whether a shard must not be sent again because the request is a suspect, that is, recorded as one that
--- a/src/routing/admission_control.cpp
+++ b/src/routing/admission_control.cpp
@@ -12,8 +12,9 @@
 /// Time constant of the average of sub-requests in flight, in seconds.
 constexpr double AVERAGING_S = 1;
 
-/// Sub-requests in flight for each slot from which upstreams count as busy.
-constexpr double BUSY = 1;
+/// Sub-requests in flight for each slot above which upstreams count as busy. More than one, since the time in
+/// flight contains the way to the upstream and back.
+constexpr double BUSY = 1.2;
 
 /// Largest expected share of the time left with which a query is admitted: of queries that are not urgent,
 /// and the addition for the most urgent ones. The slowest needed part of many takes up to twice the expected
--- a/src/routing/query_attempts.cpp
+++ b/src/routing/query_attempts.cpp
@@ -107,11 +107,11 @@
         auto from = *found;
         shard.running.erase(found);
         auto latency = now - from.sent;
-        record_time_in_flight(latency, now);
         if (outcome.end == attempt_end::answered && is_success(outcome.reply)) {
             // Before the upstream's state changes: its slowness must not contain this answer.
             state_.costs().learn(setup_.matched->name, to_milliseconds(latency), from.to->slowness(now));
             from.to->answered(latency, true, now);
+            record_time_in_flight(from, now);
             accept(shard, from, outcome.reply, now, out);
             finish_if_decided(now, out);
             return out;
@@ -121,6 +121,7 @@
         } else {
             from.to->connection_failed(latency, now);
         }
+        record_time_in_flight(from, now);
         if (outcome.end == attempt_end::not_run || outcome.end == attempt_end::not_sent) {
             shard.runs -= 1;
         }
@@ -138,9 +139,11 @@
     return out;
 }
 
-auto routed_query::record_time_in_flight(duration time, time_point now) -> void {
-    if (setup_.matched->gather) {
-        state_.admission(*setup_.matched->gather).ended(time, now);
+auto routed_query::record_time_in_flight(const running_attempt& ended, time_point now) -> void {
+    // An upstream that answered no sub-request meanwhile is cut off, hangs or pauses; that is no sign of
+    // load.
+    if (setup_.matched->gather && !ended.to->is_unresponsive_since(ended.sent)) {
+        state_.admission(*setup_.matched->gather).ended(now - ended.sent, now);
     }
 }
 
@@ -210,8 +213,8 @@
 
 auto routed_query::cancel_running(shard_state& shard, time_point now, query_actions& out) -> void {
     for (const auto& attempt : shard.running) {
+        record_time_in_flight(attempt, now);
         attempt.to->abandoned(now - attempt.sent, now);
-        record_time_in_flight(now - attempt.sent, now);
         state_.latencies(setup_.matched->name).add(now - attempt.sent);
         out.cancels.push_back(attempt.id);
     }
