Quotas: record the store's era in the allocator's key

An instance that starts replaces the key of its own earlier start and granted at once. After the store came back from a copy that key may be older than the lost key of another allocator, so both granted for up to 14 s. A new owner now waits for one time to live if the key that it replaces, or saw removed, was settled in an older era of the store or records none.

A key is settled when only its owner can grant. An owner that still waits records no era, and writes the key again when its wait is over: the era of the write alone let a second start soon after the first one grant at once.

No key is written with a lease from before the restore, since the store may end that lease as it was in the copy.

--- a/include/eelgrassledge/platform/store.hpp
+++ b/include/eelgrassledge/platform/store.hpp
@@ -18,6 +18,11 @@
 /// Revision of the store at which a key was last changed; zero means that the key does not exist.
 using mod_revision = strong_type<struct mod_revision_tag, std::int64_t>;
 
+/// Counts how often the store was restored from a copy. After a restore, writes made since the copy are lost
+/// and their revisions are assigned again, so revisions of different eras cannot be compared. Zero for a
+/// store that states no era.
+using store_era = strong_type<struct store_era_tag, std::int64_t>;
+
 struct key_value {
     std::string key;
     std::string value;
--- a/include/eelgrassledge/proxy/quota_exchange.hpp
+++ b/include/eelgrassledge/proxy/quota_exchange.hpp
@@ -43,8 +43,9 @@
     /// Answers another instance that asks for a grant.
     auto handle(const shared_session& session, const inbound_request& request) -> void;
 
-    /// The store holds the key of a zone's allocator. `zone` is what follows the prefix of the key.
-    auto key_changed(const zone_id& zone, const std::string& value, mod_revision modified) -> void;
+    /// The store holds the key of a zone's allocator. `zone` is what follows the prefix of the key; `at`
+    /// holds the newest era of the store and the revision of the key.
+    auto key_changed(const zone_id& zone, const std::string& value, store_position at) -> void;
     auto key_removed(const zone_id& zone) -> void;
     auto listed() -> void;
     auto store_restored() -> void;
@@ -52,8 +53,8 @@
     auto lease_lost() -> void;
     auto stop() -> void;
 
-    /// Periodic work; to be called about twice a second.
-    auto tick(time_point now) -> void;
+    /// Periodic work; to be called about twice a second, with the newest era of the store.
+    auto tick(store_era era, time_point now) -> void;
 
   private:
     /// A request that is being decided about.
--- a/include/eelgrassledge/proxy/quota_messages.hpp
+++ b/include/eelgrassledge/proxy/quota_messages.hpp
@@ -20,8 +20,8 @@
 [[nodiscard]] auto read_quota_answer(const std::vector<http_header>& headers) -> quota_decision;
 
 /// Value of the store key that names a zone's allocator.
-[[nodiscard]] auto encode_allocator(const instance_start& owner) -> std::string;
-/// Reads such a value; `bad_answer` if it is malformed.
-[[nodiscard]] auto decode_allocator(const std::string& value) -> result<instance_start>;
+[[nodiscard]] auto encode_allocator(const allocator_key& key) -> std::string;
+/// Reads such a value, with or without an era; `bad_answer` if it is malformed.
+[[nodiscard]] auto decode_allocator(const std::string& value) -> result<allocator_key>;
 
 }  // namespace eelgrassledge
--- a/include/eelgrassledge/proxy/store_eras.hpp
+++ b/include/eelgrassledge/proxy/store_eras.hpp
@@ -46,6 +46,9 @@
         return era_order::newer;
     }
 
+    /// Zero before the first answer.
+    [[nodiscard]] auto newest() const -> store_era { return newest_.value_or(store_era{}); }
+
   private:
     std::optional<store_era> newest_;
     std::vector<observer> observers_;
--- a/include/eelgrassledge/proxy/watched_store.hpp
+++ b/include/eelgrassledge/proxy/watched_store.hpp
@@ -10,11 +10,6 @@
 
 namespace eelgrassledge {
 
-/// Counts how often the store was restored from a copy. After a restore, writes made since the copy are lost
-/// and their revisions are assigned again, so revisions of different eras cannot be compared. Zero for a
-/// store that states no era.
-using store_era = strong_type<struct store_era_tag, std::int64_t>;
-
 /// A point in the store's history; ordered by era, then by revision.
 struct store_position {
     store_era era;
--- a/include/eelgrassledge/routing/quota_election.hpp
+++ b/include/eelgrassledge/routing/quota_election.hpp
@@ -19,6 +19,14 @@
     friend auto operator<=>(const instance_start&, const instance_start&) = default;
 };
 
+/// Contents of the store key that names a zone's allocator.
+struct allocator_key {
+    instance_start owner;
+    /// Era of the store in which no instance but `owner` could grant when the key was written. Zero if that
+    /// is not known: `owner` waits for an earlier allocator.
+    store_era settled_in{};
+};
+
 /// Parameters of a `quota_election`.
 struct quota_election_setup {
     instance_start self;
@@ -36,7 +44,8 @@
 ///
 /// Authority ends before the lease can end, by a clock that counts suspended time. A new owner waits for one
 /// time to live, from when the key was listed as missing, unless it knows that the previous one can no longer
-/// grant.
+/// grant. It does not know that if the previous key was settled in an older era of the store: the copy that
+/// the store was restored from may have lost the key of another allocator.
 ///
 /// Not synchronized. Constant time.
 class quota_election {
@@ -48,25 +57,31 @@
         lease_id lease;
         /// Revision that the key must have; zero if it must not exist.
         mod_revision expected;
+        /// Value of `allocator_key::settled_in` to write.
+        store_era settled_in;
     };
 
     /// The registration's lease was granted or renewed by a call that began at `asked`.
     auto lease_renewed(lease_id lease, time_point asked) -> void;
     auto lease_lost() -> void;
 
-    /// The store holds the key with this owner.
-    auto key_seen(const instance_start& owner, mod_revision modified, time_point now) -> void;
+    /// Sets the newest era of the store; to be called before the calls that use what the store holds in it.
+    auto set_era(store_era era) -> void { era_ = era; }
+
+    /// The store holds this key.
+    auto key_seen(const allocator_key& key, mod_revision modified, time_point now) -> void;
     /// The key was removed, which the store does when the owner's lease has ended.
     auto key_removed(time_point now) -> void;
     /// The first listing of the store is complete.
     auto listed(time_point now) -> void;
     /// The store lost its latest writes, leases included. An owner that may grant keeps its authority until
     /// the end that the lost lease gave it, and gets it again when it owns the key before; any other owner
-    /// waits for longer than that.
+    /// waits for longer than that. No key is written until a lease is granted in the new era.
     auto store_restored(time_point now) -> void;
 
     /// The write to perform now, if any. `rank` is this instance's place among the candidates, from zero;
-    /// later candidates wait longer. At most one write is pending until `written` is called.
+    /// later candidates wait longer. At most one write is pending until `written` is called. An owner whose
+    /// wait is over writes its key once more, as settled.
     auto next_write(std::size_t rank, time_point now) -> std::optional<write_order>;
     /// The pending write ended. Only a write that is known to have succeeded makes this instance the owner;
     /// if the outcome is not known, the key is written again on condition of the revision that is seen.
@@ -82,6 +97,13 @@
 
   private:
     auto become_owner(time_point now) -> void;
+    /// When an owner that becomes one at `now`, without authority that it kept, may grant.
+    [[nodiscard]] auto begins_at(time_point now) const -> time_point;
+    /// When the owner of the seen key, which has ended by `now`, and every instance that the key may have
+    /// replaced can no longer grant.
+    [[nodiscard]] auto end_of_seen(time_point now) const -> time_point;
+    /// Whether the own key is to be written again because its wait is over.
+    [[nodiscard]] auto may_settle(time_point now) const -> bool;
 
     quota_election_setup setup_;
     std::optional<lease_id> lease_;
@@ -90,7 +112,9 @@
     time_point confirmed_until_{};
     /// Owner and revision of the key, if it exists.
     std::optional<instance_start> owner_;
+    store_era settled_in_;
     mod_revision revision_;
+    store_era era_;
     /// When the key was first known to be missing.
     time_point missing_since_{};
     bool is_listed_ = false;
--- a/src/proxy/forwarding_node.cpp
+++ b/src/proxy/forwarding_node.cpp
@@ -204,7 +204,8 @@
 }
 
 auto forwarding_node::allocator_stored(const zone_id& zone, const std::string& value) -> void {
-    quotas_->key_changed(zone, value, replica_.revision_of(settings_.quota.key_prefix + zone.value()));
+    auto modified = replica_.revision_of(settings_.quota.key_prefix + zone.value());
+    quotas_->key_changed(zone, value, {eras_.newest(), modified});
 }
 
 auto forwarding_node::allocator_removed(const zone_id& zone) -> void {
@@ -335,7 +336,7 @@
     if (source_) {
         source_->sweep(now);
         strikes_->sweep(now);
-        quotas_->tick(now);
+        quotas_->tick(eras_.newest(), now);
     }
     update_instance_count();
     if (stop_) {
--- a/src/proxy/quota_exchange.cpp
+++ b/src/proxy/quota_exchange.cpp
@@ -133,20 +133,23 @@
     session->respond(make_quota_answer(decision));
 }
 
-auto quota_exchange::key_changed(const zone_id& zone, const std::string& value, mod_revision modified)
-    -> void {
-    auto owner = decode_allocator(value);
-    if (!owner) {
+auto quota_exchange::key_changed(const zone_id& zone, const std::string& value, store_position at) -> void {
+    auto key = decode_allocator(value);
+    if (!key) {
         log_(log_level::warning, "allocator_unreadable",
-             {{"zone", zone.value()}, {"reason", owner.error().message}});
+             {{"zone", zone.value()}, {"reason", key.error().message}});
         return;
     }
     log_(log_level::info, "allocator_seen",
-         {{"zone", zone.value()}, {"peer", owner->id.value()}, {"start", std::to_string(owner->number)}});
-    owners_[zone] = *owner;
+         {{"zone", zone.value()},
+          {"peer", key->owner.id.value()},
+          {"start", std::to_string(key->owner.number)},
+          {"settled_in", std::to_string(key->settled_in.value())}});
+    owners_[zone] = key->owner;
     lapsing_owners_.erase(zone);
     if (zone == settings_.own_zone) {
-        election_.key_seen(*owner, modified, monotonic_now());
+        election_.set_era(at.era);
+        election_.key_seen(*key, at.revision, monotonic_now());
     }
 }
 
@@ -200,8 +203,8 @@
 auto quota_exchange::write_key(const quota_election::write_order& order) -> void {
     const auto& self = settings_.election.self;
     store_.put_if(
-        settings_.key_prefix + settings_.own_zone.value(), encode_allocator(self), order.lease,
-        order.expected, [this](const result<bool>& written) {
+        settings_.key_prefix + settings_.own_zone.value(), encode_allocator({self, order.settled_in}),
+        order.lease, order.expected, [this](const result<bool>& written) {
             if (!written) {
                 log_(log_level::info, "allocator_not_written", {{"reason", written.error().message}});
             }
@@ -218,7 +221,7 @@
     }
 }
 
-auto quota_exchange::tick(time_point now) -> void {
+auto quota_exchange::tick(store_era era, time_point now) -> void {
     std::erase_if(lapsing_owners_, [&](const auto& lapsing) {
         if (now < lapsing.second) {
             return false;
@@ -228,6 +231,7 @@
     });
     const auto& table = table_();
     if (table && table->has_quotas()) {
+        election_.set_era(era);
         if (auto order = election_.next_write(rank(now), now)) {
             write_key(*order);
         }
--- a/src/proxy/quota_messages.cpp
+++ b/src/proxy/quota_messages.cpp
@@ -15,6 +15,10 @@
 /// Longest wait that is read from an answer.
 constexpr std::int64_t MAX_WAIT_MS = 60'000;
 
+/// Between the start number and the era in the value of an allocator's key. Without an era the value is the
+/// one of earlier versions.
+constexpr char ERA_MARK = '@';
+
 }  // namespace
 
 auto make_quota_request(const std::string& host, const team_id& owner) -> inbound_request {
@@ -52,17 +56,22 @@
     return {};
 }
 
-auto encode_allocator(const instance_start& owner) -> std::string {
-    return std::to_string(owner.number) + ' ' + owner.id.value();
+auto encode_allocator(const allocator_key& key) -> std::string {
+    auto era =
+        key.settled_in > store_era{} ? ERA_MARK + std::to_string(key.settled_in.value()) : std::string{};
+    return std::to_string(key.owner.number) + era + ' ' + key.owner.id.value();
 }
 
-auto decode_allocator(const std::string& value) -> result<instance_start> {
+auto decode_allocator(const std::string& value) -> result<allocator_key> {
     auto blank = value.find(' ');
-    auto number = to_whole_number(std::string_view{value}.substr(0, blank), -1);
-    if (blank == std::string::npos || blank + 1 == value.size() || number < 0) {
+    auto start = std::string_view{value}.substr(0, blank);
+    auto mark = start.find(ERA_MARK);
+    auto number = to_whole_number(start.substr(0, mark), -1);
+    auto era = mark == std::string_view::npos ? 0 : to_whole_number(start.substr(mark + 1), -1);
+    if (blank == std::string::npos || blank + 1 == value.size() || number < 0 || era < 0) {
         return fail(result_code::bad_answer, "\"" + value + "\" names no start of an instance");
     }
-    return instance_start{instance_id{value.substr(blank + 1)}, number};
+    return allocator_key{{instance_id{value.substr(blank + 1)}, number}, store_era{era}};
 }
 
 }  // namespace eelgrassledge
--- a/src/routing/quota_election.cpp
+++ b/src/routing/quota_election.cpp
@@ -29,13 +29,18 @@
     owns_ = false;
 }
 
-auto quota_election::key_seen(const instance_start& owner, mod_revision modified, time_point now) -> void {
-    owner_ = owner;
+auto quota_election::end_of_seen(time_point now) const -> time_point {
+    return settled_in_ < era_ ? now + setup_.time_to_live : now;
+}
+
+auto quota_election::key_seen(const allocator_key& key, mod_revision modified, time_point now) -> void {
+    owner_ = key.owner;
+    settled_in_ = key.settled_in;
     revision_ = modified;
-    if (owner != setup_.self) {
+    if (key.owner != setup_.self) {
         owns_ = false;
         // An earlier start of this instance has ended, since this one runs.
-        predecessor_ends_ = owner.id == setup_.self.id ? std::optional{now} : std::nullopt;
+        predecessor_ends_ = key.owner.id == setup_.self.id ? std::optional{end_of_seen(now)} : std::nullopt;
     }
     // The own key alone proves nothing: the update may be old, and the key attached to a lease that has
     // ended. `next_write` replaces it.
@@ -44,7 +49,7 @@
 auto quota_election::key_removed(time_point now) -> void {
     if (owner_) {
         if (owner_ != setup_.self) {
-            predecessor_ends_ = now;
+            predecessor_ends_ = end_of_seen(now);
         }
         missing_since_ = now;
     }
@@ -71,13 +76,25 @@
         kept_until_ = owns_ ? std::max(kept_until_, confirmed_until_) : kept_until_;
     }
     uncertain_until_ = now + setup_.time_to_live;
+    // The store may end the lease as it was in the copy, before the authority that the lease gave is over. A
+    // key attached to it would vanish too early.
+    lease_.reset();
+    written_with_.reset();
+}
+
+auto quota_election::may_settle(time_point now) const -> bool {
+    return owns_ && owner_ && settled_in_ < era_ && now >= grants_from_;
 }
 
 auto quota_election::next_write(std::size_t rank, time_point now) -> std::optional<write_order> {
-    if (stopped_ || write_pending_ || owns_ || !is_listed_ || !lease_ || now >= confirmed_until_) {
+    if (stopped_ || write_pending_ || !is_listed_ || !lease_ || now >= confirmed_until_) {
         return std::nullopt;
     }
-    if (owner_) {
+    if (owns_) {
+        if (!may_settle(now)) {
+            return std::nullopt;
+        }
+    } else if (owner_) {
         // Also replaces the own key when it is attached to an earlier lease, or when the answer to its write
         // was lost.
         if (owner_->id != setup_.self.id) {
@@ -88,7 +105,11 @@
     }
     write_pending_ = true;
     written_with_ = lease_;
-    return write_order{*lease_, revision_};
+    auto is_settled = owns_ || now < kept_until_ || begins_at(now) <= now;
+    if (owns_) {
+        settled_in_ = era_;
+    }
+    return write_order{*lease_, revision_, is_settled ? era_ : store_era{}};
 }
 
 auto quota_election::written(bool succeeded, time_point now) -> void {
@@ -100,17 +121,24 @@
     }
 }
 
+auto quota_election::begins_at(time_point now) const -> time_point {
+    return std::max({now, predecessor_ends_.value_or(now + setup_.time_to_live), uncertain_until_});
+}
+
 auto quota_election::become_owner(time_point now) -> void {
     owns_ = true;
+    if (owner_ != setup_.self) {
+        // The key cannot be written again before an update shows its revision and what it holds.
+        settled_in_ = era_;
+    }
     owner_ = setup_.self;
     if (now < kept_until_) {
         // Nobody else was able to grant since, so the ownership goes on.
         return;
     }
-    auto earliest = std::max(now, predecessor_ends_.value_or(now + setup_.time_to_live));
-    grants_from_ = std::max(earliest, uncertain_until_);
+    grants_from_ = begins_at(now);
     // Only this process can follow itself from here on.
-    predecessor_ends_ = earliest;
+    predecessor_ends_ = std::max(now, predecessor_ends_.value_or(now + setup_.time_to_live));
 }
 
 auto quota_election::may_grant(time_point now) const -> bool {
