Quotas: do not ask an allocator again at once that did not answer

Each request of a team above its limit waited 100 ms for an allocator that was suspended or cut off, and was then answered with 503.

A request that any zone denied is answered with 429 also if other zones cannot be asked, since a wait is known.

--- a/include/eelgrassledge/proxy/quota_exchange.hpp
+++ b/include/eelgrassledge/proxy/quota_exchange.hpp
@@ -30,9 +30,9 @@
   public:
     using table_source = std::function<const shared_route_table&()>;
 
-    /// `table` returns the configuration in force.
+    /// `table` returns the configuration in force. Allocators that do not answer are recorded in `instances`.
     quota_exchange(network_context& network, const watched_store& store, quota_settings settings,
-                   const instance_directory& instances, table_source table, event_log log, metrics& counters);
+                   instance_directory& instances, table_source table, event_log log, metrics& counters);
 
     /// Decides about one request of a team with a quota; see `quota_gate`.
     auto ask(const team& owner, std::function<void(quota_decision)> on_decision) -> void;
@@ -80,7 +80,7 @@
 
     const watched_store& store_;
     quota_settings settings_;
-    const instance_directory& instances_;
+    instance_directory& instances_;
     table_source table_;
     event_log log_;
     metrics& counters_;
--- a/include/eelgrassledge/routing/quota_client.hpp
+++ b/include/eelgrassledge/routing/quota_client.hpp
@@ -25,8 +25,6 @@
     /// Progress of one request.
     struct inquiry {
         std::vector<zone_id> asked;
-        /// Zones that could not be asked.
-        std::size_t unavailable = 0;
         /// Shortest wait of the denials, those remembered from earlier requests included.
         std::optional<duration> shortest_wait;
     };
@@ -40,7 +38,8 @@
     auto answered(const team& owner, const zone_id& zone, const quota_decision& decision, inquiry& progress,
                   time_point now) -> void;
 
-    /// The decision when no zone is left to ask: denied only if every zone with a share denied.
+    /// The decision when no zone is left to ask: denied if any zone denied, since its wait is known, and
+    /// unavailable if none answered.
     [[nodiscard]] static auto conclude(const inquiry& progress) -> quota_decision;
 
     /// Keeps the grant of a request that did not run for a later request of the team. `granted` is when the
--- a/src/proxy/quota_exchange.cpp
+++ b/src/proxy/quota_exchange.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 
+#include "eelgrassledge/proxy/peer_protocol.hpp"
 #include "eelgrassledge/proxy/quota_messages.hpp"
 
 namespace eelgrassledge {
@@ -17,7 +18,7 @@
 }  // namespace
 
 quota_exchange::quota_exchange(network_context& network, const watched_store& store, quota_settings settings,
-                               const instance_directory& instances, table_source table, event_log log,
+                               instance_directory& instances, table_source table, event_log log,
                                metrics& counters)
     : store_(store),
       settings_(std::move(settings)),
@@ -79,10 +80,16 @@
     call.bytes = to_bytes(make_quota_request(allocator.peer_address, inquiry->owner.name));
     call.confirm_within = ASK_TIMEOUT;
     call.answer_within = ASK_TIMEOUT;
-    call.on_done = [this, inquiry, zone](const peer_call_result& reply) {
-        auto decision = reply.end == peer_call_end::answered && reply.answer.status == 200
-                            ? read_quota_answer(reply.answer.headers)
-                            : quota_decision{};
+    call.on_done = [this, inquiry, zone, id = allocator.id](const peer_call_result& reply) {
+        auto is_answered = reply.end == peer_call_end::answered;
+        if (is_answered) {
+            instances_.answered(id);
+        } else if (!is_not_taken(reply.answer.headers)) {
+            // Otherwise each request of a team above its limit waits for the timeout.
+            instances_.failed(id, monotonic_now());
+        }
+        auto decision = is_answered && reply.answer.status == 200 ? read_quota_answer(reply.answer.headers)
+                                                                  : quota_decision{};
         take_answer(inquiry, zone, decision);
     };
     peers_.start(std::move(call));
--- a/src/routing/quota_client.cpp
+++ b/src/routing/quota_client.cpp
@@ -73,7 +73,6 @@
             }
             break;
         case quota_verdict::unavailable:
-            ++progress.unavailable;
             if (state.last_granted == zone) {
                 state.last_granted.reset();
             }
@@ -82,8 +81,8 @@
 }
 
 auto quota_client::conclude(const inquiry& progress) -> quota_decision {
-    if (progress.unavailable > 0 || !progress.shortest_wait) {
-        return {quota_verdict::unavailable, progress.shortest_wait.value_or(duration{})};
+    if (!progress.shortest_wait) {
+        return {};
     }
     return {quota_verdict::denied, *progress.shortest_wait};
 }
