Quotas: choose the zone of a small limit by FNV-1a

std::hash differs between standard libraries, so builds of different compilers chose different zones for a limit that is too small to be split, and each zone granted the whole of it. The rank among the candidates for the allocator of a zone uses the same hash.

--- a/src/proxy/quota_exchange.cpp
+++ b/src/proxy/quota_exchange.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 
+#include "eelgrassledge/core/stable_hash.hpp"
 #include "eelgrassledge/proxy/peer_protocol.hpp"
 #include "eelgrassledge/proxy/quota_messages.hpp"
 
@@ -199,7 +200,7 @@
     auto candidates = instances_.all_in(settings_.own_zone);
     const auto& self = instances_.self();
     auto place = [](const instance_record& record) {
-        return std::tuple{-record.capacity, std::hash<std::string>{}(record.id.value()), record.id};
+        return std::tuple{-record.capacity, stable_hash(record.id.value()), record.id};
     };
     return static_cast<std::size_t>(
         std::count_if(candidates.begin(), candidates.end(), [&](const instance_record& record) {
--- a/src/routing/quota_allocator.cpp
+++ b/src/routing/quota_allocator.cpp
@@ -2,9 +2,10 @@
 
 #include <algorithm>
 #include <chrono>
-#include <functional>
 #include <numeric>
 
+#include "eelgrassledge/core/stable_hash.hpp"
+
 namespace eelgrassledge {
 
 namespace {
@@ -42,7 +43,7 @@
     if (limit / zones >= 1) {
         return {owner.rate_per_s / zones, std::max(1.0, owner.burst / zones), limit / zones, split.window};
     }
-    auto only = std::hash<std::string>{}(owner.name.value()) % split.zones.size();
+    auto only = stable_hash(owner.name.value()) % split.zones.size();
     auto is_only = found - split.zones.begin() == static_cast<std::ptrdiff_t>(only);
     return is_only
                ? quota_share{owner.rate_per_s, std::max(1.0, owner.burst), std::max(1.0, limit), split.window}
--- a/tests/unit/routing/quota.cpp
+++ b/tests/unit/routing/quota.cpp
@@ -1,6 +1,7 @@
 #include <algorithm>
 #include <catch2/catch.hpp>
 
+#include "eelgrassledge/core/stable_hash.hpp"
 #include "eelgrassledge/routing/quota_client.hpp"
 #include "test_clock.hpp"
 
@@ -244,6 +245,13 @@
         }
         CHECK(shares == 1);
         CHECK(share_of(rare, four, zone_id{"elsewhere"}).is_empty());
+        // Otherwise builds of different compilers each grant the limit, in different zones.
+        static_assert(stable_hash("") == 0xcbf29ce484222325U);
+        static_assert(stable_hash("foobar") == 0x85944171f73967e8U);
+        for (const auto* name : {"counter", "labels", "catalogue", "search", "export"}) {
+            rare.name = team_id{name};
+            CHECK_FALSE(share_of(rare, four, four.zones[stable_hash(name) % 4]).is_empty());
+        }
     }
 }
 
