--- a/include/eelgrassledge/proxy/quota_exchange.hpp
+++ b/include/eelgrassledge/proxy/quota_exchange.hpp
@@ -59,6 +59,7 @@
   private:
     /// A request that is being decided about.
     struct open_inquiry {
+        /// Without keys, which may be many.
         team owner;
         quota_client::inquiry progress;
         std::function<void(quota_decision)> on_decision;
--- a/src/proxy/quota_exchange.cpp
+++ b/src/proxy/quota_exchange.cpp
@@ -36,7 +36,8 @@
         on_decision({quota_verdict::granted, {}, *granted});
         return;
     }
-    advance(std::make_shared<open_inquiry>(open_inquiry{owner, {}, std::move(on_decision)}));
+    team limits{owner.name, owner.priority, owner.rate_per_s, owner.burst, {}};
+    advance(std::make_shared<open_inquiry>(open_inquiry{std::move(limits), {}, std::move(on_decision)}));
 }
 
 auto quota_exchange::returned(const team& owner, time_point granted) -> void {
