Quotas: replace an allocator's key that cannot be read once per change

The election did not learn of such a key and wrote it every 0.5 s as if it did not exist, which the store refused each time. It is now replaced on condition of its revision, at most once for each revision. The new owner waits for one time to live, and an owner that sees the value ends its grants.

--- a/include/eelgrassledge/routing/quota_election.hpp
+++ b/include/eelgrassledge/routing/quota_election.hpp
@@ -70,6 +70,9 @@
 
     /// The store holds this key.
     auto key_seen(const allocator_key& key, mod_revision modified, time_point now) -> void;
+    /// The store holds the key with a value that names no owner. It is replaced at most once for each revision;
+    /// its owner, if there is one, has until then and one time to live longer to notice.
+    auto key_unreadable(mod_revision modified, time_point now) -> void;
     /// The key was removed, which the store does when the owner's lease has ended.
     auto key_removed(time_point now) -> void;
     /// The first listing of the store is complete.
@@ -102,8 +105,8 @@
     /// When the owner of the seen key, which has ended by `now`, and every instance that the key may have
     /// replaced can no longer grant.
     [[nodiscard]] auto end_of_seen(time_point now) const -> time_point;
-    /// Whether the own key is to be written again because its wait is over.
-    [[nodiscard]] auto may_settle(time_point now) const -> bool;
+    /// Whether the key is to be written now if this instance can write.
+    [[nodiscard]] auto is_write_due(std::size_t rank, time_point now) const -> bool;
 
     quota_election_setup setup_;
     std::optional<lease_id> lease_;
@@ -115,7 +118,10 @@
     store_era settled_in_;
     mod_revision revision_;
     store_era era_;
-    /// When the key was first known to be missing.
+    /// Whether the key exists with a value that names no owner, and whether it was not yet written since.
+    bool is_unreadable_ = false;
+    bool may_replace_ = false;
+    /// When the key was first known to be missing or unreadable.
     time_point missing_since_{};
     bool is_listed_ = false;
     /// When the previous owner can no longer grant; nothing while that is not known.
--- a/src/proxy/quota_exchange.cpp
+++ b/src/proxy/quota_exchange.cpp
@@ -147,6 +147,9 @@
     if (!key) {
         log_(log_level::warning, "allocator_unreadable",
              {{"zone", zone.value()}, {"reason", key.error().message}});
+        if (zone == settings_.own_zone) {
+            election_.key_unreadable(at.revision, monotonic_now());
+        }
         return;
     }
     log_(log_level::info, "allocator_seen",
--- a/src/routing/quota_election.cpp
+++ b/src/routing/quota_election.cpp
@@ -34,6 +34,7 @@
 }
 
 auto quota_election::key_seen(const allocator_key& key, mod_revision modified, time_point now) -> void {
+    is_unreadable_ = false;
     owner_ = key.owner;
     settled_in_ = key.settled_in;
     revision_ = modified;
@@ -46,7 +47,21 @@
     // ended. `next_write` replaces it.
 }
 
+auto quota_election::key_unreadable(mod_revision modified, time_point now) -> void {
+    if (is_unreadable_ && revision_ == modified) {
+        return;
+    }
+    is_unreadable_ = true;
+    may_replace_ = true;
+    owner_.reset();
+    revision_ = modified;
+    missing_since_ = now;
+    predecessor_ends_.reset();
+    owns_ = false;
+}
+
 auto quota_election::key_removed(time_point now) -> void {
+    is_unreadable_ = false;
     if (owner_) {
         if (owner_ != setup_.self) {
             predecessor_ends_ = end_of_seen(now);
@@ -63,7 +78,7 @@
         return;
     }
     is_listed_ = true;
-    if (!owner_) {
+    if (!owner_ && !is_unreadable_) {
         missing_since_ = now;
         // Its lease may have been renewed just before.
         predecessor_ends_ = setup_.is_first_start ? now : now + setup_.time_to_live;
@@ -82,28 +97,27 @@
     written_with_.reset();
 }
 
-auto quota_election::may_settle(time_point now) const -> bool {
-    return owns_ && owner_ && settled_in_ < era_ && now >= grants_from_;
-}
-
-auto quota_election::next_write(std::size_t rank, time_point now) -> std::optional<write_order> {
-    if (stopped_ || write_pending_ || !is_listed_ || !lease_ || now >= confirmed_until_) {
-        return std::nullopt;
-    }
+auto quota_election::is_write_due(std::size_t rank, time_point now) const -> bool {
     if (owns_) {
-        if (!may_settle(now)) {
-            return std::nullopt;
-        }
-    } else if (owner_) {
+        // The wait is over, so that a later start of this instance need not wait again.
+        return settled_in_ < era_ && now >= grants_from_;
+    }
+    if (owner_) {
         // Also replaces the own key when it is attached to an earlier lease, or when the answer to its write
         // was lost.
-        if (owner_->id != setup_.self.id) {
-            return std::nullopt;
-        }
-    } else if (now < missing_since_ + static_cast<std::int64_t>(rank) * WAIT_PER_RANK) {
+        return owner_->id == setup_.self.id;
+    }
+    auto may_write = !is_unreadable_ || may_replace_;
+    return may_write && now >= missing_since_ + static_cast<std::int64_t>(rank) * WAIT_PER_RANK;
+}
+
+auto quota_election::next_write(std::size_t rank, time_point now) -> std::optional<write_order> {
+    if (stopped_ || write_pending_ || !is_listed_ || !lease_ || now >= confirmed_until_ ||
+        !is_write_due(rank, now)) {
         return std::nullopt;
     }
     write_pending_ = true;
+    may_replace_ = false;
     written_with_ = lease_;
     auto is_settled = owns_ || now < kept_until_ || begins_at(now) <= now;
     if (owns_) {
@@ -127,6 +141,7 @@
 
 auto quota_election::become_owner(time_point now) -> void {
     owns_ = true;
+    is_unreadable_ = false;
     if (owner_ != setup_.self) {
         // The key cannot be written again before an update shows its revision and what it holds.
         settled_in_ = era_;
--- a/tests/unit/proxy/quota_exchange.cpp
+++ b/tests/unit/proxy/quota_exchange.cpp
@@ -64,6 +64,30 @@
 
 }  // namespace
 
+// Guards against a write every 0.5 s, and against a grant beside an owner whose key cannot be read.
+TEST_CASE("an allocator's key that cannot be read is replaced once per change") {
+    exchange_fixture f;
+    f.next_write_succeeds = fail(result_code::store_conflict, "changed");
+    auto now = monotonic_now();
+    f.exchange.lease_renewed(lease_id{7}, now);
+    f.exchange.key_changed(zone_id{"a"}, "x a1", {{}, mod_revision{5}});
+    f.exchange.listed();
+    for (int i = 0; i < 10; ++i) {
+        f.exchange.tick({}, now + i * milliseconds{500});
+        // The same state may be listed again.
+        f.exchange.key_changed(zone_id{"a"}, "x a1", {{}, mod_revision{5}});
+    }
+    REQUIRE(f.writes.size() == 1);
+    CHECK(f.writes.at(0).second == mod_revision{5});
+    f.next_write_succeeds = true;
+    f.exchange.key_changed(zone_id{"a"}, "y a1", {{}, mod_revision{6}});
+    f.exchange.tick({}, now + seconds{5});
+    REQUIRE(f.writes.size() == 2);
+    CHECK(f.writes.at(1).second == mod_revision{6});
+    // A first start of the system is no reason not to wait for the owner of that key.
+    CHECK(f.ask().verdict == quota_verdict::unavailable);
+}
+
 // Guards against a timeout at each request of a team above its limit, and a 503 that gives no time to wait
 // for.
 TEST_CASE("an allocator that does not answer is not asked again at once") {
