Test that a registration ends while its lease is requested

The review reported that leave() registers the instance if a lease is granted later. The end of the sequence of calls in leave() already prevents that; a test now guards it also without a restored store.

--- a/tests/unit/proxy/store_sources.cpp
+++ b/tests/unit/proxy/store_sources.cpp
@@ -294,6 +294,23 @@
     }
 }
 
+// Guards against an instance that registers after it was told to stop.
+TEST_CASE("a registration that ends while its lease is requested") {
+    network_context network;
+    watched_store::done<lease_id> granted;
+    std::size_t puts = 0;
+    watched_store store;
+    store.grant = [&](duration, watched_store::done<lease_id> done) { granted = std::move(done); };
+    store.put = [&](const std::string&, const std::string&, lease_id, const watched_store::done<bool>&) {
+        ++puts;
+    };
+    instance_registration registration{network.loop, store, "key", "value", {}, ignore_log()};
+    registration.start();
+    registration.leave();
+    granted(lease_id{7});
+    CHECK(puts == 0);
+}
+
 // Guards against an instance that goes on with a lease that the restored store has lost, or has given to
 // another owner.
 TEST_CASE("a registration in a store that was restored from a copy") {
