Label the teams without a metric of their own "other teams"

A team named "other" shared its series of eelgrassledge_team_answers_total with the teams beyond the first 128. The name of a team cannot hold a blank, so the new label is not the name of any team.

--- a/include/eelgrassledge/proxy/forwarder.hpp
+++ b/include/eelgrassledge/proxy/forwarder.hpp
@@ -14,6 +14,7 @@
 #include "eelgrassledge/proxy/http_server.hpp"
 #include "eelgrassledge/proxy/peer_calls.hpp"
 #include "eelgrassledge/proxy/peer_protocol.hpp"
+#include "eelgrassledge/proxy/team_labels.hpp"
 #include "eelgrassledge/routing/crash_suspects.hpp"
 #include "eelgrassledge/routing/gather_placement.hpp"
 #include "eelgrassledge/routing/quota_decision.hpp"
@@ -215,8 +216,7 @@
     crash_suspects suspects_;
     quota_gate quota_gate_;
     std::function<void(const team&, time_point granted)> quota_returned_;
-    /// Teams that have metrics of their own.
-    std::set<team_id> teams_counted_;
+    team_labels team_labels_;
     std::unordered_map<query_number, running_query> queries_;
     /// Next wake-up of every query, earliest first.
     std::set<std::pair<time_point, query_number>> wakeups_;
--- a/src/proxy/forwarder_admission.cpp
+++ b/src/proxy/forwarder_admission.cpp
@@ -18,9 +18,6 @@
 /// Upper limit of `Retry-After` while an instance has no configuration yet.
 constexpr duration MAX_START_RETRY_AFTER = seconds{1};
 
-/// Teams with metrics of their own; the others are counted together.
-constexpr std::size_t MAX_TEAMS_COUNTED = 128;
-
 /// Hash of the parts of a request that are equal in all of the caller's attempts.
 auto fingerprint_of(const inbound_request& request) -> fingerprint {
     std::size_t seed = 0;
@@ -275,12 +272,8 @@
 }
 
 auto forwarder::count_for_team(const team& sender, int status) -> void {
-    auto known = teams_counted_.contains(sender.name);
-    if (!known && teams_counted_.size() < MAX_TEAMS_COUNTED) {
-        known = teams_counted_.insert(sender.name).second;
-    }
     counters_.count("eelgrassledge_team_answers_total",
-                    {{"team", known ? sender.name.value() : "other"}, {"status", std::to_string(status)}});
+                    {{"team", team_labels_.label_of(sender.name)}, {"status", std::to_string(status)}});
 }
 
 auto forwarder::refuse_if_suspect(const shared_session& session, fingerprint request_fingerprint,
