--- a/include/eelgrassledge/routing/quota_election.hpp
+++ b/include/eelgrassledge/routing/quota_election.hpp
@@ -70,8 +70,8 @@
 
     /// The store holds this key.
     auto key_seen(const allocator_key& key, mod_revision modified, time_point now) -> void;
-    /// The store holds the key with a value that names no owner. It is replaced at most once for each revision;
-    /// its owner, if there is one, has until then and one time to live longer to notice.
+    /// The store holds the key with a value that names no owner. It is replaced at most once for each
+    /// revision; its owner, if there is one, has until then and one time to live longer to notice.
     auto key_unreadable(mod_revision modified, time_point now) -> void;
     /// The key was removed, which the store does when the owner's lease has ended.
     auto key_removed(time_point now) -> void;
@@ -100,8 +100,8 @@
 
   private:
     auto become_owner(time_point now) -> void;
-    /// When an owner that becomes one at `now`, without authority that it kept, may grant.
-    [[nodiscard]] auto begins_at(time_point now) const -> time_point;
+    /// When the previous owner can no longer grant, at the earliest `now`.
+    [[nodiscard]] auto predecessor_end(time_point now) const -> time_point;
     /// When the owner of the seen key, which has ended by `now`, and every instance that the key may have
     /// replaced can no longer grant.
     [[nodiscard]] auto end_of_seen(time_point now) const -> time_point;
--- a/src/routing/quota_election.cpp
+++ b/src/routing/quota_election.cpp
@@ -119,7 +119,7 @@
     write_pending_ = true;
     may_replace_ = false;
     written_with_ = lease_;
-    auto is_settled = owns_ || now < kept_until_ || begins_at(now) <= now;
+    auto is_settled = owns_ || now < kept_until_ || std::max(predecessor_end(now), uncertain_until_) <= now;
     if (owns_) {
         settled_in_ = era_;
     }
@@ -135,8 +135,8 @@
     }
 }
 
-auto quota_election::begins_at(time_point now) const -> time_point {
-    return std::max({now, predecessor_ends_.value_or(now + setup_.time_to_live), uncertain_until_});
+auto quota_election::predecessor_end(time_point now) const -> time_point {
+    return std::max(now, predecessor_ends_.value_or(now + setup_.time_to_live));
 }
 
 auto quota_election::become_owner(time_point now) -> void {
@@ -151,9 +151,10 @@
         // Nobody else was able to grant since, so the ownership goes on.
         return;
     }
-    grants_from_ = begins_at(now);
+    auto earliest = predecessor_end(now);
+    grants_from_ = std::max(earliest, uncertain_until_);
     // Only this process can follow itself from here on.
-    predecessor_ends_ = std::max(now, predecessor_ends_.value_or(now + setup_.time_to_live));
+    predecessor_ends_ = earliest;
 }
 
 auto quota_election::may_grant(time_point now) const -> bool {
