--- a/include/eelgrassledge/proxy/quota_exchange.hpp
+++ b/include/eelgrassledge/proxy/quota_exchange.hpp
@@ -30,9 +30,9 @@
   public:
     using table_source = std::function<const shared_route_table&()>;
 
-    /// `table` returns the configuration in force.
+    /// `table` returns the configuration in force. Allocators that do not answer are recorded in `instances`.
     quota_exchange(network_context& network, const watched_store& store, quota_settings settings,
-                   const instance_directory& instances, table_source table, event_log log, metrics& counters);
+                   instance_directory& instances, table_source table, event_log log, metrics& counters);
 
     /// Decides about one request of a team with a quota; see `quota_gate`.
     auto ask(const team& owner, std::function<void(quota_decision)> on_decision) -> void;
@@ -43,8 +43,9 @@
     /// Answers another instance that asks for a grant.
     auto handle(const shared_session& session, const inbound_request& request) -> void;
 
-    /// The store holds the key of a zone's allocator. `zone` is what follows the prefix of the key.
-    auto key_changed(const zone_id& zone, const std::string& value, mod_revision modified) -> void;
+    /// The store holds the key of a zone's allocator. `zone` is what follows the prefix of the key; `at`
+    /// holds the newest era of the store and the revision of the key.
+    auto key_changed(const zone_id& zone, const std::string& value, store_position at) -> void;
     auto key_removed(const zone_id& zone) -> void;
     auto listed() -> void;
     auto store_restored() -> void;
@@ -52,12 +53,13 @@
     auto lease_lost() -> void;
     auto stop() -> void;
 
-    /// Periodic work; to be called about twice a second.
-    auto tick(time_point now) -> void;
+    /// Periodic work; to be called about twice a second, with the newest era of the store.
+    auto tick(store_era era, time_point now) -> void;
 
   private:
     /// A request that is being decided about.
     struct open_inquiry {
+        /// Without keys, which may be many.
         team owner;
         quota_client::inquiry progress;
         std::function<void(quota_decision)> on_decision;
@@ -79,7 +81,7 @@
 
     const watched_store& store_;
     quota_settings settings_;
-    const instance_directory& instances_;
+    instance_directory& instances_;
     table_source table_;
     event_log log_;
     metrics& counters_;
--- a/src/proxy/quota_exchange.cpp
+++ b/src/proxy/quota_exchange.cpp
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 
+#include "eelgrassledge/core/stable_hash.hpp"
+#include "eelgrassledge/proxy/peer_protocol.hpp"
 #include "eelgrassledge/proxy/quota_messages.hpp"
 
 namespace eelgrassledge {
@@ -17,7 +19,7 @@
 }  // namespace
 
 quota_exchange::quota_exchange(network_context& network, const watched_store& store, quota_settings settings,
-                               const instance_directory& instances, table_source table, event_log log,
+                               instance_directory& instances, table_source table, event_log log,
                                metrics& counters)
     : store_(store),
       settings_(std::move(settings)),
@@ -34,7 +36,8 @@
         on_decision({quota_verdict::granted, {}, *granted});
         return;
     }
-    advance(std::make_shared<open_inquiry>(open_inquiry{owner, {}, std::move(on_decision)}));
+    team limits{owner.name, owner.priority, owner.rate_per_s, owner.burst, {}};
+    advance(std::make_shared<open_inquiry>(open_inquiry{std::move(limits), {}, std::move(on_decision)}));
 }
 
 auto quota_exchange::returned(const team& owner, time_point granted) -> void {
@@ -79,10 +82,16 @@
     call.bytes = to_bytes(make_quota_request(allocator.peer_address, inquiry->owner.name));
     call.confirm_within = ASK_TIMEOUT;
     call.answer_within = ASK_TIMEOUT;
-    call.on_done = [this, inquiry, zone](const peer_call_result& reply) {
-        auto decision = reply.end == peer_call_end::answered && reply.answer.status == 200
-                            ? read_quota_answer(reply.answer.headers)
-                            : quota_decision{};
+    call.on_done = [this, inquiry, zone, id = allocator.id](const peer_call_result& reply) {
+        auto is_answered = reply.end == peer_call_end::answered;
+        if (is_answered) {
+            instances_.answered(id);
+        } else if (!is_not_taken(reply.answer.headers)) {
+            // Otherwise each request of a team above its limit waits for the timeout.
+            instances_.failed(id, monotonic_now());
+        }
+        auto decision = is_answered && reply.answer.status == 200 ? read_quota_answer(reply.answer.headers)
+                                                                  : quota_decision{};
         take_answer(inquiry, zone, decision);
     };
     peers_.start(std::move(call));
@@ -133,20 +142,26 @@
     session->respond(make_quota_answer(decision));
 }
 
-auto quota_exchange::key_changed(const zone_id& zone, const std::string& value, mod_revision modified)
-    -> void {
-    auto owner = decode_allocator(value);
-    if (!owner) {
+auto quota_exchange::key_changed(const zone_id& zone, const std::string& value, store_position at) -> void {
+    auto key = decode_allocator(value);
+    if (!key) {
         log_(log_level::warning, "allocator_unreadable",
-             {{"zone", zone.value()}, {"reason", owner.error().message}});
+             {{"zone", zone.value()}, {"reason", key.error().message}});
+        if (zone == settings_.own_zone) {
+            election_.key_unreadable(at.revision, monotonic_now());
+        }
         return;
     }
     log_(log_level::info, "allocator_seen",
-         {{"zone", zone.value()}, {"peer", owner->id.value()}, {"start", std::to_string(owner->number)}});
-    owners_[zone] = *owner;
+         {{"zone", zone.value()},
+          {"peer", key->owner.id.value()},
+          {"start", std::to_string(key->owner.number)},
+          {"settled_in", std::to_string(key->settled_in.value())}});
+    owners_[zone] = key->owner;
     lapsing_owners_.erase(zone);
     if (zone == settings_.own_zone) {
-        election_.key_seen(*owner, modified, monotonic_now());
+        election_.set_era(at.era);
+        election_.key_seen(*key, at.revision, monotonic_now());
     }
 }
 
@@ -189,7 +204,7 @@
     auto candidates = instances_.all_in(settings_.own_zone);
     const auto& self = instances_.self();
     auto place = [](const instance_record& record) {
-        return std::tuple{-record.capacity, std::hash<std::string>{}(record.id.value()), record.id};
+        return std::tuple{-record.capacity, stable_hash(record.id.value()), record.id};
     };
     return static_cast<std::size_t>(
         std::count_if(candidates.begin(), candidates.end(), [&](const instance_record& record) {
@@ -200,8 +215,8 @@
 auto quota_exchange::write_key(const quota_election::write_order& order) -> void {
     const auto& self = settings_.election.self;
     store_.put_if(
-        settings_.key_prefix + settings_.own_zone.value(), encode_allocator(self), order.lease,
-        order.expected, [this](const result<bool>& written) {
+        settings_.key_prefix + settings_.own_zone.value(), encode_allocator({self, order.settled_in}),
+        order.lease, order.expected, [this](const result<bool>& written) {
             if (!written) {
                 log_(log_level::info, "allocator_not_written", {{"reason", written.error().message}});
             }
@@ -218,7 +233,7 @@
     }
 }
 
-auto quota_exchange::tick(time_point now) -> void {
+auto quota_exchange::tick(store_era era, time_point now) -> void {
     std::erase_if(lapsing_owners_, [&](const auto& lapsing) {
         if (now < lapsing.second) {
             return false;
@@ -228,6 +243,7 @@
     });
     const auto& table = table_();
     if (table && table->has_quotas()) {
+        election_.set_era(era);
         if (auto order = election_.next_write(rank(now), now)) {
             write_key(*order);
         }
