Count calls that one instance does not confirm once for its zone

An attempt no longer counts if its zone answered after it was sent. Of the calls to one instance that run at the same time and whose machine acknowledged them (TCP_INFO), only the first counts. Attempts that are not acknowledged, as in a network partition, count as before.

--- a/include/eelgrassledge/proxy/connection_pool.hpp
+++ b/include/eelgrassledge/proxy/connection_pool.hpp
@@ -49,6 +49,9 @@
     /// Returns whether the request was still queued, so that nothing of it was sent.
     auto cancel(attempt_id attempt) -> bool;
 
+    /// Whether the remote machine has acknowledged all that was sent of a running request.
+    [[nodiscard]] auto is_acknowledged(attempt_id attempt) const -> bool;
+
     /// Sets the maximum number of connections. Running requests above it are not interrupted.
     auto limit(std::size_t connections) -> void { limit_ = connections; }
 
--- a/include/eelgrassledge/proxy/forwarder.hpp
+++ b/include/eelgrassledge/proxy/forwarder.hpp
@@ -183,6 +183,9 @@
     auto record_upstream_wishes(const shared_upstream& from, const exchange_result& answer) -> void;
     /// Records whether a zone responded, and logs when that changes.
     auto record_reachability(const zone_id& zone, const exchange_result& result) -> void;
+    /// The same after a call to another instance, which may end without its confirmation.
+    auto record_reachability(const instance_record& of, const exchange_result& result) -> void;
+    auto log_zone_silent(const zone_id& zone, const exchange_result& last) const -> void;
     /// Classifies the result of an exchange: not sent, not run, unclear or answered.
     [[nodiscard]] auto to_outcome(exchange_result result) const -> attempt_outcome;
     auto send_answer(query_number number, const query_answer& answer) -> void;
--- a/include/eelgrassledge/proxy/http_connection.hpp
+++ b/include/eelgrassledge/proxy/http_connection.hpp
@@ -47,6 +47,7 @@
     unknown,       ///< The exchange does not show whether the machine is reachable.
     responsive,    ///< The machine responded; a refused connection counts.
     unresponsive,  ///< The machine did not respond before the time-out.
+    unconfirmed,   ///< The machine acknowledged the request, but its process did not respond in time.
 };
 
 /// Outcome of one exchange. `status`, `headers` and `body` are those of the answer, if a complete one
@@ -63,6 +64,8 @@
     /// Whether the exchange failed because the answer exceeded a size limit.
     bool too_large = false;
     remote_reachability reachability = remote_reachability::unknown;
+    /// When the exchange began.
+    time_point sent{};
 };
 
 /// Client connection to an HTTP server that carries one exchange at a time.
@@ -89,6 +92,10 @@
     /// Whether the connection is open, idle and usable for another request.
     [[nodiscard]] auto is_reusable() const -> bool { return reusable_; }
 
+    /// Whether the connection is open and the remote machine has acknowledged all data sent so far. It does
+    /// so even if its process gets no processor time.
+    [[nodiscard]] auto is_acknowledged() -> bool;
+
     /// How long the server keeps the idle connection open, from the `timeout` parameter of the `Keep-Alive`
     /// header of the last answer; empty if the server did not state it.
     [[nodiscard]] auto keep_alive() const -> std::optional<duration> { return keep_alive_; }
@@ -115,6 +122,7 @@
     asio::steady_timer connect_timer_;
     std::string outgoing_;
     std::size_t written_ = 0;
+    time_point started_{};
     std::optional<response_parser> parser_;
     /// Memory of the answer in progress.
     std::optional<answer_share> share_;
--- a/include/eelgrassledge/proxy/peer_calls.hpp
+++ b/include/eelgrassledge/proxy/peer_calls.hpp
@@ -61,6 +61,7 @@
         std::string address;
         std::shared_ptr<asio::steady_timer> timer;
         completion_handler on_done;
+        time_point sent;
         /// Whether the other instance has confirmed the call.
         bool is_confirmed = false;
     };
--- a/include/eelgrassledge/routing/zone_reachability.hpp
+++ b/include/eelgrassledge/routing/zone_reachability.hpp
@@ -13,6 +13,9 @@
 /// partition a zone is unresponsive: connections do not open and requests are not confirmed. A refused or
 /// reset connection counts as an answer, since it shows that packets arrive.
 ///
+/// Attempts that were sent before the last answer of their zone do not count: the answer shows that the zone
+/// was reachable after them.
+///
 /// Not synchronized; operations are logarithmic or linear in the number of zones.
 class zone_reachability {
   public:
@@ -21,9 +24,14 @@
     /// Records an answer from the zone. Returns whether the zone counted as unresponsive until now.
     auto answered(const zone_id& zone, time_point now) -> bool;
 
-    /// Records an attempt that got no reaction from the zone in time. Returns whether the zone counts as
-    /// unresponsive from now on and did not before.
-    auto unanswered(const zone_id& zone, time_point now) -> bool;
+    /// Records an attempt, sent at `sent`, that got no reaction from the zone in time. Returns whether the
+    /// zone counts as unresponsive from now on and did not before.
+    auto unanswered(const zone_id& zone, time_point sent, time_point now) -> bool;
+
+    /// Records a call to an instance whose machine acknowledged it, but which was not confirmed in time. Of
+    /// the calls that run at the same time only the first counts: an instance that gets no processor time
+    /// confirms none of them. Returns the same as `unanswered`.
+    auto unconfirmed(const zone_id& zone, const instance_id& by, time_point sent, time_point now) -> bool;
 
     /// Whether several attempts in a row were unanswered, the last of them recently.
     [[nodiscard]] auto is_unresponsive(const zone_id& zone, time_point now) const -> bool;
@@ -45,9 +53,13 @@
         time_point last_answer{};
         time_point last_unanswered{};
         std::uint32_t unanswered_in_row = 0;
+        /// Time of the last unconfirmed call that was counted, by instance, since the last answer.
+        std::map<instance_id, time_point> last_unconfirmed;
     };
 
     [[nodiscard]] static auto is_unresponsive(const zone_traffic& traffic, time_point now) -> bool;
+    /// Counts an attempt without a reaction.
+    auto count_unanswered(zone_traffic& traffic, time_point now) -> bool;
 
     zone_id own_;
     std::map<zone_id, zone_traffic> others_;
--- a/src/proxy/connection_pool.cpp
+++ b/src/proxy/connection_pool.cpp
@@ -129,6 +129,12 @@
     return false;
 }
 
+auto connection_pool::is_acknowledged(attempt_id attempt) const -> bool {
+    auto found = std::find_if(busy_.begin(), busy_.end(),
+                              [&](const busy_connection& b) { return b.attempt == attempt; });
+    return found != busy_.end() && found->connection->is_acknowledged();
+}
+
 auto connection_pool::close_idle(time_point now) -> void {
     std::erase_if(idle_, [&](const idle_connection& kept) {
         auto keep = std::min(MAX_IDLE, kept.connection->keep_alive().value_or(MAX_IDLE) - IDLE_MARGIN);
--- a/src/proxy/forwarder_sends.cpp
+++ b/src/proxy/forwarder_sends.cpp
@@ -97,7 +97,7 @@
 auto forwarder::on_group_result(query_number number, const group_order& order, peer_call_result result)
     -> void {
     const auto& runner = order.group.runner;
-    record_reachability(runner.zone, result.answer);
+    record_reachability(runner, result.answer);
     group_outcome outcome;
     if (result.end == peer_call_end::answered) {
         instances_.answered(runner.id);
@@ -252,14 +252,26 @@
 auto forwarder::record_reachability(const zone_id& zone, const exchange_result& result) -> void {
     auto now = monotonic_now();
     if (result.reachability == remote_reachability::unresponsive) {
-        if (state_.zones().unanswered(zone, now)) {
-            log_(log_level::warning, "zone_silent", {{"zone", zone.value()}, {"last", result.reason}});
+        if (state_.zones().unanswered(zone, result.sent, now)) {
+            log_zone_silent(zone, result);
         }
     } else if (result.reachability == remote_reachability::responsive && state_.zones().answered(zone, now)) {
         log_(log_level::info, "zone_heard_again", {{"zone", zone.value()}});
     }
 }
 
+auto forwarder::record_reachability(const instance_record& of, const exchange_result& result) -> void {
+    if (result.reachability != remote_reachability::unconfirmed) {
+        record_reachability(of.zone, result);
+    } else if (state_.zones().unconfirmed(of.zone, of.id, result.sent, monotonic_now())) {
+        log_zone_silent(of.zone, result);
+    }
+}
+
+auto forwarder::log_zone_silent(const zone_id& zone, const exchange_result& last) const -> void {
+    log_(log_level::warning, "zone_silent", {{"zone", zone.value()}, {"last", last.reason}});
+}
+
 auto forwarder::probe_unresponsive_zones(time_point now) -> void {
     for (const auto& zone : state_.zones().unresponsive_zones(now)) {
         auto instances = instances_.all_in(zone);
@@ -272,8 +284,8 @@
         probe.bytes = probe_request();
         probe.fresh_connection = true;
         probe.confirm_within = ZONE_PROBE_TIMEOUT;
-        probe.on_done = [this, zone](const peer_call_result& result) {
-            record_reachability(zone, result.answer);
+        probe.on_done = [this, to = probe.to](const peer_call_result& result) {
+            record_reachability(to, result.answer);
         };
         peers_.start(std::move(probe));
     }
--- a/src/proxy/http_connection.cpp
+++ b/src/proxy/http_connection.cpp
@@ -75,6 +75,7 @@
     -> void {
     outgoing_ = std::move(bytes);
     written_ = 0;
+    started_ = monotonic_now();
     reusable_ = false;
     max_body_bytes_ = max_body_bytes;
     on_done_ = std::move(on_done);
@@ -209,6 +210,7 @@
 auto http_connection::finish_answer(bool must_close) -> void {
     exchange_result result;
     result.end = exchange_end::answered;
+    result.sent = started_;
     result.answer_begun = true;
     result.reachability = remote_reachability::responsive;
     result.status = parser_->status();
@@ -246,6 +248,7 @@
 auto http_connection::fail(exchange_end end, std::string reason, remote_reachability reachability) -> void {
     exchange_result result;
     result.end = end;
+    result.sent = started_;
     result.reason = std::move(reason);
     result.answer_begun = parser_ && parser_->has_begun();
     auto state = parser_ ? parser_->state() : parse_state::head;
@@ -261,6 +264,13 @@
     }
 }
 
+auto http_connection::is_acknowledged() -> bool {
+    tcp_info info{};
+    socklen_t size = sizeof info;
+    return getsockopt(socket_.native_handle(), IPPROTO_TCP, TCP_INFO, &info, &size) == 0 &&
+           info.tcpi_state != TCP_SYN_SENT && info.tcpi_unacked == 0;
+}
+
 auto http_connection::close() -> void {
     if (closed_) {
         return;
--- a/src/proxy/peer_calls.cpp
+++ b/src/proxy/peer_calls.cpp
@@ -30,7 +30,7 @@
         }
     };
     timer->async_wait(on_time);
-    calls_.emplace(id, running_call{o.to.peer_address, timer, std::move(o.on_done), false});
+    calls_.emplace(id, running_call{o.to.peer_address, timer, std::move(o.on_done), monotonic_now(), false});
     connection_pool::request call;
     call.attempt = id;
     call.fresh_connection = o.fresh_connection;
@@ -60,8 +60,11 @@
     if (found == calls_.end()) {
         return;
     }
-    auto was_queued = pool_of(found->second.address).cancel(call);
+    auto& pool = pool_of(found->second.address);
+    auto is_acknowledged = pool.is_acknowledged(call);
+    auto was_queued = pool.cancel(call);
     peer_call_result result;
+    result.answer.sent = found->second.sent;
     if (was_queued) {
         // Says nothing about the instance: all connections to it were in use.
         result.end = peer_call_end::not_taken;
@@ -69,8 +72,10 @@
         result.answer.reason = "no free connection in time";
     } else {
         result.answer.reason = "no confirmation or answer in time";
-        result.answer.reachability =
-            found->second.is_confirmed ? remote_reachability::unknown : remote_reachability::unresponsive;
+        if (!found->second.is_confirmed) {
+            result.answer.reachability =
+                is_acknowledged ? remote_reachability::unconfirmed : remote_reachability::unresponsive;
+        }
     }
     finish(call, std::move(result));
 }
--- a/src/routing/zone_reachability.cpp
+++ b/src/routing/zone_reachability.cpp
@@ -34,14 +34,35 @@
     auto was_unresponsive = is_unresponsive(traffic, now);
     traffic.last_answer = now;
     traffic.unanswered_in_row = 0;
+    traffic.last_unconfirmed.clear();
     return was_unresponsive;
 }
 
-auto zone_reachability::unanswered(const zone_id& zone, time_point now) -> bool {
+auto zone_reachability::unanswered(const zone_id& zone, time_point sent, time_point now) -> bool {
     if (zone == own_) {
         return false;
     }
     auto& traffic = others_[zone];
+    auto answered_since = traffic.last_answer > sent;
+    return !answered_since && count_unanswered(traffic, now);
+}
+
+auto zone_reachability::unconfirmed(const zone_id& zone, const instance_id& by, time_point sent,
+                                    time_point now) -> bool {
+    if (zone == own_) {
+        return false;
+    }
+    auto& traffic = others_[zone];
+    auto counted = traffic.last_unconfirmed.find(by);
+    auto ran_with_counted = counted != traffic.last_unconfirmed.end() && sent < counted->second;
+    if (traffic.last_answer > sent || ran_with_counted) {
+        return false;
+    }
+    traffic.last_unconfirmed[by] = now;
+    return count_unanswered(traffic, now);
+}
+
+auto zone_reachability::count_unanswered(zone_traffic& traffic, time_point now) -> bool {
     auto was_unresponsive = is_unresponsive(traffic, now);
     auto was_cut_off = is_cut_off(now);
     traffic.last_unanswered = now;
