Replace answered sessions first at a full listener

Clients that were refused with 413 or 431 and did not close their side held all 64 sessions of the readiness listener for up to 1.5 s, since a session that waits for its client to close could not be replaced. Checks waited in the accept queue for longer than their limit of one second; whether, depended on how many of the 250 connections were accepted before the first request was read.

Such a session is now replaced before all others, after the listener's minimum time as before.

--- a/include/eelgrassledge/core/session_memory.hpp
+++ b/include/eelgrassledge/core/session_memory.hpp
@@ -18,7 +18,7 @@
     identified,    ///< Receives the body of a request whose route and key are valid.
     delivering,    ///< Has an answer that its client has not read completely.
     running,       ///< Its request is being handled.
-    closing        ///< Discards input until its client closes; cannot be evicted.
+    closing        ///< Was answered, and discards input until its client closes; holds no memory to free.
 };
 
 /// Why a session is evicted.
--- a/src/core/session_memory.cpp
+++ b/src/core/session_memory.cpp
@@ -84,14 +84,17 @@
 auto session_memory::next_to_replace(const void* listener, time_point latest) const -> session_share* {
     auto rank = [](session_stage stage) -> std::optional<int> {
         switch (stage) {
-            case session_stage::unidentified:
+            case session_stage::closing:
+                // Has been answered, and only waits for its client to close.
                 return 0;
-            case session_stage::idle:
+            case session_stage::unidentified:
                 return 1;
-            case session_stage::identified:
+            case session_stage::idle:
                 return 2;
-            case session_stage::delivering:
+            case session_stage::identified:
                 return 3;
+            case session_stage::delivering:
+                return 4;
             default:
                 return std::nullopt;
         }
--- a/tests/unit/proxy/http_server.cpp
+++ b/tests/unit/proxy/http_server.cpp
@@ -167,6 +167,19 @@
         CHECK(s.server.sessions() <= 2);
         CHECK(s.abandoned == 0);
     }
+    SECTION("a full listener replaces a session whose client does not close after a refusal") {
+        listener_policy policy;
+        policy.max_sessions = 1;
+        policy.min_stage_time = {};
+        policy.serves_targets_only = true;
+        s.server.set_policy(policy);
+        CHECK(s.received(s.connect(post("/", 10, 5))).starts_with("HTTP/1.1 413"));
+        CHECK(s.server.sessions() == 1);
+        auto& sound = s.connect("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+        s.run();
+        CHECK(s.received(sound).starts_with("HTTP/1.1 200"));
+        CHECK(s.server.sessions() <= 1);
+    }
     SECTION("a listener that serves targets only accepts no body, and keeps no fields") {
         listener_policy policy;
         policy.serves_targets_only = true;
