platform-flood: the faulty instance answers in time beside other load

peer.endless_bytes() > 0 failed in "endless answers of other instances": 300 caller threads and a new thread for each connection to the faulty instance competed for the processor in one process, so that no call was confirmed within 60 ms and the flood never began. Requests, checks and bounds are unchanged.

--- a/tests/support/raw_upstream.hpp
+++ b/tests/support/raw_upstream.hpp
@@ -4,6 +4,8 @@
 #include <asio/read_until.hpp>
 #include <asio/write.hpp>
 #include <atomic>
+#include <condition_variable>
+#include <deque>
 #include <functional>
 #include <mutex>
 #include <set>
@@ -38,8 +40,14 @@
     using answer_function =
         std::function<raw_answer(const std::string& request_id, const std::string& previous_id)>;
 
-    raw_upstream(const std::string& address, answer_function answer)
+    /// Starts `waiting_threads` threads that wait for connections. While all of them are busy, a connection
+    /// gets a new thread, which on a machine under load may run tens of milliseconds later than one that
+    /// waits.
+    raw_upstream(const std::string& address, answer_function answer, int waiting_threads = 0)
         : answer_(std::move(answer)), acceptor_(context_, parse_endpoint(address).value()) {
+        for (int i = 0; i < waiting_threads; ++i) {
+            connection_threads_.emplace_back([this] { serve_accepted(); });
+        }
         accept_thread_ = std::thread{[this] { accept(); }};
     }
 
@@ -53,6 +61,7 @@
                 ::shutdown(socket->native_handle(), SHUT_RDWR);
             }
         }
+        accepted_changed_.notify_all();
         for (auto& thread : connection_threads_) {
             thread.join();
         }
@@ -70,12 +79,42 @@
             asio::error_code fault;
             asio::ip::tcp::socket socket{context_};
             acceptor_.accept(socket, fault);
-            if (!fault) {
+            if (!fault && !pass_to_waiting_thread(socket)) {
                 connection_threads_.emplace_back([this, s = std::move(socket)]() mutable { serve(s); });
             }
         }
     }
 
+    /// Takes the socket if a thread waits for it; returns whether one does.
+    auto pass_to_waiting_thread(asio::ip::tcp::socket& socket) -> bool {
+        {
+            std::lock_guard guard{mutex_};
+            if (waiting_threads_ <= accepted_.size()) {
+                return false;
+            }
+            accepted_.push_back(std::move(socket));
+        }
+        accepted_changed_.notify_one();
+        return true;
+    }
+
+    /// Serves accepted connections, one after another, until the server ends.
+    auto serve_accepted() -> void {
+        std::unique_lock lock{mutex_};
+        while (!stopping_) {
+            ++waiting_threads_;
+            accepted_changed_.wait(lock, [this] { return stopping_ || !accepted_.empty(); });
+            --waiting_threads_;
+            if (!stopping_) {
+                auto socket = std::move(accepted_.front());
+                accepted_.pop_front();
+                lock.unlock();
+                serve(socket);
+                lock.lock();
+            }
+        }
+    }
+
     auto serve(asio::ip::tcp::socket& socket) -> void {
         {
             std::lock_guard guard{mutex_};
@@ -129,6 +168,9 @@
     std::atomic<std::size_t> endless_bytes_ = 0;
     std::mutex mutex_;
     std::set<asio::ip::tcp::socket*> open_sockets_;
+    std::condition_variable accepted_changed_;
+    std::deque<asio::ip::tcp::socket> accepted_;
+    std::size_t waiting_threads_ = 0;
     std::vector<std::thread> connection_threads_;
     std::thread accept_thread_;
 };
