--- a/include/eelgrassledge/config/settings.hpp
+++ b/include/eelgrassledge/config/settings.hpp
@@ -35,6 +35,8 @@
     duration lease_ttl = seconds{3};
     /// SHA-256 of a token that is accepted in addition to those of the document's operators; empty for none.
     std::string admin_token_sha256;
+    std::uint32_t memory_mb = 160;  ///< Memory of the machine, from which the limits on sessions follow.
+    std::uint32_t max_fds = 4100;   ///< Descriptors that the process may open.
 };
 
 /// Parses the INI text of a daemon's settings, which has one section `[daemon]`. `overrides` are the options
--- a/schema/settings.capnp
+++ b/schema/settings.capnp
@@ -21,4 +21,6 @@
   stopGraceMs @10 :UInt32 = 10000 $Ini.atLeast(100) $Ini.atMost(600000);
   leaseTtlS @11 :UInt32 = 3 $Ini.atLeast(2) $Ini.atMost(60);
   adminTokenSha256 @12 :Text = "" $Ini.expects("sha256 or empty");
+  memoryMb @13 :UInt32 = 160 $Ini.atLeast(40) $Ini.atMost(1048576);
+  maxFds @14 :UInt32 = 4100 $Ini.atLeast(300) $Ini.atMost(1048576);
 }
--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -38,6 +38,8 @@
     to.stop_grace = milliseconds{from.getStopGraceMs()};
     to.lease_ttl = seconds{from.getLeaseTtlS()};
     to.admin_token_sha256 = from.getAdminTokenSha256().cStr();
+    to.memory_mb = from.getMemoryMb();
+    to.max_fds = from.getMaxFds();
     return to;
 }
 
