Limit what the connections of callers and instances hold at eelgrassledged

RESTinio passes on a request only when it is complete, and Cap'n Proto RPC a message. The bytes of incomplete ones are therefore counted at the sockets; connections above limits derived from memory_mb and max_fds are closed, requests that have not begun to run first.

Accepting connections of other instances goes on after a failure.

--- a/daemon/http_server.hpp
+++ b/daemon/http_server.hpp
@@ -4,6 +4,7 @@
 #include <memory>
 #include <string>
 
+#include "caller_sessions.hpp"
 #include "eelgrassledge/core/result_code.hpp"
 #include "eelgrassledge/runtime/application.hpp"
 
@@ -13,7 +14,7 @@
 struct http_limits {
     std::size_t max_body_bytes = 65536;
     std::size_t max_header_bytes = 8192;
-    std::size_t max_connections = 2000;
+    session_limits sessions;
     std::size_t threads = 2;
 };
 
@@ -23,7 +24,8 @@
   public:
     using handler = std::function<void(const api_request&, application::respond)>;
 
-    http_server(handler on_request, http_limits limits);
+    /// `on_evicted` is called on any thread and must not block.
+    http_server(handler on_request, http_limits limits, caller_sessions::evicted_hook on_evicted);
     ~http_server();
     http_server(const http_server&) = delete;
     auto operator=(const http_server&) -> http_server& = delete;
--- a/daemon/main.cpp
+++ b/daemon/main.cpp
@@ -104,10 +104,14 @@
     }
     http_limits limits;
     limits.max_body_bytes = std::max<std::size_t>(MAX_ADMIN_BODY_BYTES, settings.max_body_bytes);
+    limits.sessions = caller_limits(settings.memory_mb, settings.max_fds);
     http_server server{[&app](const api_request& request, application::respond done) {
                            app.handle(request, std::move(done));
                        },
-                       limits};
+                       limits,
+                       [&app](eviction_reason reason, session_stage stage, std::size_t bytes) {
+                           app.record_eviction("callers", reason, stage, bytes);
+                       }};
     auto started = server.start(settings.http_address);
     if (!started) {
         return report(started.error());
--- a/include/eelgrassledge/peer/peer_network.hpp
+++ b/include/eelgrassledge/peer/peer_network.hpp
@@ -6,6 +6,8 @@
 #include <vector>
 
 #include "eelgrassledge/broker/sub_request.hpp"
+#include "eelgrassledge/config/session_limits.hpp"
+#include "eelgrassledge/core/session_memory.hpp"
 #include "eelgrassledge/membership/zone_coordinator.hpp"
 
 namespace eelgrassledge {
@@ -36,6 +38,9 @@
     std::function<void(const std::string& reason)> on_task_failed;
     /// The connection to a broker was lost; all sub-requests in flight on it are lost too.
     std::function<void(const std::string& address)> on_broker_lost;
+    /// A connection from another daemon, or from a client that pretends to be one, was evicted because of the
+    /// limits on connections; it was in this stage and held these bytes.
+    std::function<void(eviction_reason, session_stage, std::size_t bytes)> on_session_evicted;
     /// Answers a sync request of another daemon.
     std::function<sync_reply(const sync_request&)> on_sync;
     /// A reply to a sync request of this daemon arrived. `sent` is when the request was sent.
@@ -57,9 +62,9 @@
         std::uint64_t links_out = 0;
     };
 
-    /// Starts the thread and listens on the address. A failure to listen is not thrown; `listening` reports
-    /// it.
-    peer_network(std::string listen_address, peer_hooks hooks);
+    /// Starts the thread and listens on the address, where `limits` apply to connections. A failure to listen
+    /// is not thrown; `listening` reports it.
+    peer_network(std::string listen_address, session_limits limits, peer_hooks hooks);
     ~peer_network();
     peer_network(const peer_network&) = delete;
     auto operator=(const peer_network&) -> peer_network& = delete;
--- a/include/eelgrassledge/runtime/application.hpp
+++ b/include/eelgrassledge/runtime/application.hpp
@@ -9,6 +9,7 @@
 #include <thread>
 
 #include "eelgrassledge/config/settings.hpp"
+#include "eelgrassledge/core/session_memory.hpp"
 #include "eelgrassledge/entry/token_bucket.hpp"
 #include "eelgrassledge/runtime/broker_runtime.hpp"
 #include "eelgrassledge/runtime/caller_codec.hpp"
@@ -61,6 +62,10 @@
     /// Answers a request to the HTTP interface; `done` is called exactly once, on any thread.
     auto handle(const api_request& request, respond done) -> void;
 
+    /// Counts an evicted session of the listener `listener` and logs it; one line a second at most.
+    auto record_eviction(const std::string& listener, eviction_reason reason, session_stage stage,
+                         std::size_t bytes) -> void;
+
     /// Stops gracefully: announces that this daemon leaves, completes running queries and hands the upstreams
     /// over to other brokers. Blocks until that is done or until `stop_grace` of the settings has passed;
     /// returns false in the second case.
@@ -150,6 +155,9 @@
     revision applied_revision_;
     /// Members of all zones, at least 1; each entry gets an equal share of a caller's priority rate.
     std::atomic<std::size_t> entry_count_{1};
+    std::mutex evictions_lock_;
+    time_point next_eviction_line_{};  ///< No eviction is logged before.
+    std::uint64_t unlogged_evictions_ = 0;
     std::atomic<bool> stopping_{false};  ///< Set from the start of a drain; makes this daemon not ready.
     std::atomic<bool> refuse_new_queries_{false};
     /// When the document took this zone or instance out of service; 0 while it is in service.
--- a/src/peer/incoming_sessions.cpp
+++ b/src/peer/incoming_sessions.cpp
@@ -72,7 +72,9 @@
     server = kj::heap<capnp::TwoPartyServer>(kj::heap<peer_server>(*this));
     auto address = io->provider->getNetwork().parseAddress(listen_address).wait(io->waitScope);
     receiver = address->listen();
-    tasks->add(server->listen(*receiver));
+    connections_in = kj::heap<incoming_connections>(*server, *receiver, io->provider->getTimer(), *this,
+                                                    limits_in, hooks.on_session_evicted);
+    tasks->add(connections_in->accept_all());
 }
 
 auto peer_network::implementation::deliver(link_id link, const std::vector<broker_message>& messages)
--- a/src/peer/peer_loop.hpp
+++ b/src/peer/peer_loop.hpp
@@ -17,6 +17,7 @@
 
 #include "eelgrassledge/core/command_queue.hpp"
 #include "eelgrassledge/peer/peer_network.hpp"
+#include "incoming_connections.hpp"
 #include "wire_conversions.hpp"
 
 namespace eelgrassledge {
@@ -59,7 +60,7 @@
         time_point reconnect_at{};
     };
 
-    implementation(std::string address, peer_hooks callbacks);
+    implementation(std::string address, session_limits limits, peer_hooks callbacks);
     ~implementation();
     implementation(const implementation&) = delete;
     auto operator=(const implementation&) -> implementation& = delete;
@@ -102,6 +103,7 @@
     auto fail_unsent(const std::string& address, outgoing_link& link) -> void;
 
     std::string listen_address;
+    session_limits limits_in;
     peer_hooks hooks;
     std::array<int, 2> wake_pipe{-1, -1};
     std::array<char, 4096> wake_buffer{};
@@ -114,6 +116,7 @@
     kj::Own<kj::AsyncInputStream> wake_input;
     kj::Own<capnp::TwoPartyServer> server;
     kj::Own<kj::ConnectionReceiver> receiver;
+    kj::Own<incoming_connections> connections_in;
     std::map<std::string, outgoing_link> links;
     std::set<std::string> addresses_to_flush;
     std::set<std::string> connecting;
--- a/src/peer/peer_network.cpp
+++ b/src/peer/peer_network.cpp
@@ -7,8 +7,8 @@
 
 namespace eelgrassledge {
 
-peer_network::implementation::implementation(std::string address, peer_hooks callbacks)
-    : listen_address(std::move(address)), hooks(std::move(callbacks)) {
+peer_network::implementation::implementation(std::string address, session_limits limits, peer_hooks callbacks)
+    : listen_address(std::move(address)), limits_in(limits), hooks(std::move(callbacks)) {
     if (::pipe2(wake_pipe.data(), O_NONBLOCK | O_CLOEXEC) != 0) {
         return;
     }
@@ -62,6 +62,7 @@
         running_tasks = nullptr;
         links.clear();
         answer_sinks.clear();
+        connections_in = nullptr;
         receiver = nullptr;
         server = nullptr;
     });
@@ -110,8 +111,8 @@
     }
 }
 
-peer_network::peer_network(std::string listen_address, peer_hooks hooks)
-    : impl_(std::make_unique<implementation>(std::move(listen_address), std::move(hooks))) {}
+peer_network::peer_network(std::string listen_address, session_limits limits, peer_hooks hooks)
+    : impl_(std::make_unique<implementation>(std::move(listen_address), limits, std::move(hooks))) {}
 
 peer_network::~peer_network() = default;
 
--- a/src/runtime/application.cpp
+++ b/src/runtime/application.cpp
@@ -11,6 +11,8 @@
 constexpr duration HANDOVER_TIMEOUT = milliseconds{3000};
 /// Interval between checks of the progress of a drain.
 constexpr duration DRAIN_POLL_INTERVAL = milliseconds{20};
+/// Shortest interval between log lines about evicted sessions.
+constexpr duration EVICTION_LINE_INTERVAL = seconds{1};
 /// Link of sub-requests from this daemon's own entry.
 const link_id LOCAL_LINK{0};
 
@@ -65,7 +67,8 @@
     broker.on_message = [this](broker_message message) { on_broker_message(std::move(message)); };
     broker.on_strike = [this](fingerprint print, const suspicion& state) { on_strike(print, state); };
     broker_ = std::make_unique<broker_runtime>(std::move(broker), timers_, metrics_, log_);
-    peers_ = std::make_unique<peer_network>(settings_.peer_address, make_peer_hooks());
+    peers_ = std::make_unique<peer_network>(
+        settings_.peer_address, peer_limits(settings_.memory_mb, settings_.max_fds), make_peer_hooks());
     if (!peers_->listening()) {
         return;
     }
@@ -108,6 +111,9 @@
         metrics_.count("eelgrassledge_broker_links_lost_total", {});
         entry_->on_broker_lost(broker);
     };
+    hooks.on_session_evicted = [this](eviction_reason reason, session_stage stage, std::size_t bytes) {
+        record_eviction("peers", reason, stage, bytes);
+    };
     hooks.on_sync = [this](const sync_request& request) {
         std::scoped_lock guard{coordinator_.lock};
         return coordinator_.decisions.on_sync_request(request, monotonic_now());
@@ -204,6 +210,25 @@
     }
 }
 
+auto application::record_eviction(const std::string& listener, eviction_reason reason, session_stage stage,
+                                  std::size_t bytes) -> void {
+    metrics_.count("eelgrassledge_sessions_evicted_total",
+                   {{"listener", listener}, {"reason", to_string(reason)}, {"stage", to_string(stage)}});
+    std::scoped_lock guard{evictions_lock_};
+    auto now = monotonic_now();
+    if (now < next_eviction_line_) {
+        ++unlogged_evictions_;
+        return;
+    }
+    next_eviction_line_ = now + EVICTION_LINE_INTERVAL;
+    log_(log_level::warning, "session_evicted",
+         {{"listener", listener},
+          {"reason", to_string(reason)},
+          {"stage", to_string(stage)},
+          {"bytes", std::to_string(bytes)},
+          {"not_logged", std::to_string(std::exchange(unlogged_evictions_, 0))}});
+}
+
 auto application::readiness_page() -> api_response {
     auto doc = current_document();
     auto ready = doc && !stopping_ && out_since_ == 0 && settings_.entry;
