Keep the I/O context until all requests of callers are answered

A query may outlive the server at a forced stop. Its connection and session would then be destroyed after the I/O context and the account they use.

--- a/daemon/http_server.cpp
+++ b/daemon/http_server.cpp
@@ -57,7 +57,7 @@
 
 }  // namespace
 
-struct http_server::implementation {
+struct http_server::implementation : std::enable_shared_from_this<implementation> {
     implementation(handler request_handler, http_limits server_limits,
                    caller_sessions::evicted_hook on_evicted)
         : on_request(std::move(request_handler)),
@@ -66,12 +66,22 @@
         asio::make_service<caller_sessions_service>(context, &sessions);
     }
 
+    /// A request that runs. It may outlive the server; its connection needs the I/O context, and its session
+    /// the account, until both are destroyed.
+    struct unanswered_request {
+        std::shared_ptr<implementation> server;
+        std::shared_ptr<caller_session> session;
+        restinio::request_handle_t request;
+    };
+
     auto handle(const restinio::request_handle_t& request) -> restinio::request_handling_status_t {
         auto session = caller_session::current();
         if (session->begin_request(request->body().size())) {
-            on_request(to_api_request(request), [request, session](const api_response& response) {
-                send(request, session, response);
-            });
+            on_request(to_api_request(request),
+                       [unanswered = unanswered_request{shared_from_this(), session, request}](
+                           const api_response& response) {
+                           send(unanswered.request, unanswered.session, response);
+                       });
         } else {
             constexpr auto CODE = result_code::overloaded;
             auto refusal = json_response(http_status_of(CODE),
@@ -90,7 +100,7 @@
 };
 
 http_server::http_server(handler on_request, http_limits limits, caller_sessions::evicted_hook on_evicted)
-    : impl_(std::make_unique<implementation>(std::move(on_request), limits, std::move(on_evicted))) {}
+    : impl_(std::make_shared<implementation>(std::move(on_request), limits, std::move(on_evicted))) {}
 
 http_server::~http_server() {
     stop();
--- a/daemon/http_server.hpp
+++ b/daemon/http_server.hpp
@@ -38,7 +38,7 @@
 
   private:
     struct implementation;
-    std::unique_ptr<implementation> impl_;
+    std::shared_ptr<implementation> impl_;  ///< Shared with requests that are not answered yet.
 };
 
 }  // namespace eelgrassledge
