Do not pass on an upstream's failure whose status promises "not run"

What callers saw: a request that may run once was answered 503, 429 or 408 although an upstream had run it.

Cause: routed_query::settle kept the answer of the last upstream as the failure of its shard, whatever its status, and to_caller_response hands it on unchanged. An upstream states that it has not run a request by X-Not-Executed or 421; its other answers are failures of its own, of requests that may have run.

Change: a failure with status 408, 421, 429 or 503 is not kept. The caller gets 502 (206) without the upstream's signature, Retry-After and body. This holds for every type of route, as the promise does. All other failures are passed on unchanged. The event answer_withheld, also a label of eelgrassledge_decisions_total, names the upstream's status.

--- a/include/eelgrassledge/routing/routed_query.hpp
+++ b/include/eelgrassledge/routing/routed_query.hpp
@@ -35,6 +35,9 @@
     return status >= 200 && status < 300;
 }
 
+/// Whether an answer with this status promises the caller that its request has not run and never will.
+[[nodiscard]] auto is_not_run_status(int status) -> bool;
+
 /// Whether the answer has a 2xx status and a signature of the upstream.
 [[nodiscard]] auto is_success(const upstream_reply& reply) -> bool;
 
@@ -103,7 +106,7 @@
 struct query_answer {
     result_code code = result_code::ok;
     /// Answer of the upstream, for a route without shards; its status, headers and body are forwarded
-    /// unchanged.
+    /// unchanged. Empty if there is none that may be passed on.
     std::optional<upstream_reply> reply;
     /// Signatures of the received parts.
     std::vector<std::string> part_signatures;
@@ -241,6 +244,7 @@
         /// Whether an upstream refused it for lack of capacity.
         bool was_refused = false;
         std::optional<upstream_reply> part;
+        /// Failure of the last upstream, if it may be passed on.
         std::optional<upstream_reply> failure;
         result_code failed_with = result_code::ok;
     };
@@ -291,7 +295,10 @@
                 query_actions& out) -> void;
     auto cancel_running(shard_state& shard, time_point now, query_actions& out) -> void;
     auto cancel_groups(query_actions& out) -> void;
-    auto settle(shard_state& shard, const attempt_outcome& outcome) -> void;
+    auto settle(shard_state& shard, const attempt_outcome& outcome, query_actions& out) -> void;
+    /// Keeps the failure of an upstream as the answer to the caller, unless its status states something that
+    /// is not true of a request that has run.
+    auto keep_failure(shard_state& shard, const upstream_reply& reply, query_actions& out) const -> void;
     auto act_on_overdue(shard_state& shard, time_point now, query_actions& out) -> void;
     auto finish_if_decided(time_point now, query_actions& out) -> void;
     auto stop_all(time_point now, query_actions& out) -> void;
--- a/src/proxy/caller_answers.cpp
+++ b/src/proxy/caller_answers.cpp
@@ -11,8 +11,8 @@
 
 constexpr int UNAUTHORIZED = 401;
 
-/// Statuses that guarantee that the request has not run.
 constexpr int TOO_MANY_REQUESTS = 429;
+/// Status of all other refusals, which guarantee that the request has not run.
 constexpr int NOT_RUN_STATUS = 503;
 
 auto joined(const std::vector<std::string>& items) -> std::string {
@@ -56,8 +56,7 @@
 }
 
 auto is_not_run(result_code code) -> bool {
-    auto status = status_of(code);
-    return code != result_code::ok && (status == NOT_RUN_STATUS || status == TOO_MANY_REQUESTS);
+    return code != result_code::ok && is_not_run_status(status_of(code));
 }
 
 auto error_response(result_code code, duration retry_after) -> outbound_response {
--- a/src/routing/query_attempts.cpp
+++ b/src/routing/query_attempts.cpp
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <array>
 
 #include "eelgrassledge/routing/record_merge.hpp"
 #include "eelgrassledge/routing/routed_query.hpp"
@@ -31,6 +32,11 @@
 
 }  // namespace
 
+auto is_not_run_status(int status) -> bool {
+    constexpr std::array PROMISES{408, 421, 429, 503};
+    return std::find(PROMISES.begin(), PROMISES.end(), status) != PROMISES.end();
+}
+
 auto is_success(const upstream_reply& reply) -> bool {
     return is_success_status(reply.status) && !reply.signature.empty();
 }
@@ -131,7 +137,7 @@
                                          shard.service.value(), from.to->id().value(),
                                          to_milliseconds(latency), outcome.reply.status, outcome.reason)});
         if (!try_again(shard, outcome, now, out) && shard.running.empty()) {
-            settle(shard, outcome);
+            settle(shard, outcome, out);
         }
         finish_if_decided(now, out);
         return out;
@@ -221,14 +227,12 @@
     shard.running.clear();
 }
 
-auto routed_query::settle(shard_state& shard, const attempt_outcome& outcome) -> void {
+auto routed_query::settle(shard_state& shard, const attempt_outcome& outcome, query_actions& out) -> void {
     shard.settled = true;
     shard.overdue_at.reset();
     switch (outcome.end) {
         case attempt_end::answered:
-            if (!setup_.matched->gather) {
-                shard.failure = outcome.reply;
-            }
+            keep_failure(shard, outcome.reply, out);
             shard.failed_with = result_code::upstream_failed;
             break;
         case attempt_end::not_run:
@@ -245,6 +249,19 @@
     }
 }
 
+auto routed_query::keep_failure(shard_state& shard, const upstream_reply& reply, query_actions& out) const
+    -> void {
+    if (setup_.matched->gather) {
+        return;
+    }
+    if (is_not_run_status(reply.status)) {
+        out.notes.push_back({"answer_withheld", "not_run_status",
+                             fmt::format("shard={} status={}", shard.service.value(), reply.status)});
+        return;
+    }
+    shard.failure = reply;
+}
+
 auto routed_query::act_on_overdue(shard_state& shard, time_point now, query_actions& out) -> void {
     auto delay = state_.hedge_delay(*setup_.matched);
     for (const auto& attempt : shard.running) {
--- a/tests/property/routing_properties.cpp
+++ b/tests/property/routing_properties.cpp
@@ -1,6 +1,7 @@
 #include <fmt/format.h>
 #include <rapidcheck.h>
 
+#include <array>
 #include <catch2/catch.hpp>
 #include <map>
 #include <set>
@@ -56,6 +57,8 @@
         if (claims_not_run) {
             RC_ASSERT(possible_runs_.empty());
         }
+        // An upstream whose answer is passed on has run the request.
+        RC_ASSERT(!answer_.reply || !is_not_run_status(answer_.reply->status));
         if (answer_.code == result_code::ok && !answer_.reply) {
             std::set<std::string> distinct{answer_.part_signatures.begin(), answer_.part_signatures.end()};
             RC_ASSERT(distinct.size() == answer_.part_signatures.size());
@@ -101,7 +104,8 @@
                                 : kind == 2 ? attempt_end::not_sent
                                             : attempt_end::answered);
         if (outcome.end == attempt_end::answered) {
-            outcome.reply.status = kind == 3 ? 500 : 200;
+            constexpr std::array FAILURES{500, 503, 429, 408};
+            outcome.reply.status = kind == 3 ? FAILURES.at(choice / 512 % FAILURES.size()) : 200;
             outcome.reply.signature = fmt::format("sig{}", attempt.value());
             outcome.reply.body = std::string(16, 'r');
             if (kind != 3) {
