--- a/include/eelgrassledge/routing/routed_query.hpp
+++ b/include/eelgrassledge/routing/routed_query.hpp
@@ -296,8 +296,8 @@
     auto cancel_running(shard_state& shard, time_point now, query_actions& out) -> void;
     auto cancel_groups(query_actions& out) -> void;
     auto settle(shard_state& shard, const attempt_outcome& outcome, query_actions& out) -> void;
-    /// Keeps the failure of an upstream as the answer to the caller, unless its status states something that
-    /// is not true of a request that has run.
+    /// Keeps the failure of an upstream as the answer to the caller, unless its status would mislead the
+    /// caller.
     auto keep_failure(shard_state& shard, const upstream_reply& reply, query_actions& out) const -> void;
     auto act_on_overdue(shard_state& shard, time_point now, query_actions& out) -> void;
     auto finish_if_decided(time_point now, query_actions& out) -> void;
--- a/src/routing/query_attempts.cpp
+++ b/src/routing/query_attempts.cpp
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 #include <array>
+#include <optional>
+#include <string_view>
 
 #include "eelgrassledge/routing/record_merge.hpp"
 #include "eelgrassledge/routing/routed_query.hpp"
@@ -30,6 +32,17 @@
 /// budget.
 constexpr duration HEDGE_RECHECK = milliseconds{10};
 
+/// Why the caller must not receive a failure as the upstream sent it; empty if it may.
+auto reason_to_withhold(const upstream_reply& failure) -> std::optional<std::string_view> {
+    if (is_not_run_status(failure.status)) {
+        return "not_run_status";
+    }
+    if (is_success_status(failure.status)) {
+        return "unsigned_success";
+    }
+    return std::nullopt;
+}
+
 }  // namespace
 
 auto is_not_run_status(int status) -> bool {
@@ -254,8 +267,8 @@
     if (setup_.matched->gather) {
         return;
     }
-    if (is_not_run_status(reply.status)) {
-        out.notes.push_back({"answer_withheld", "not_run_status",
+    if (auto reason = reason_to_withhold(reply)) {
+        out.notes.push_back({"answer_withheld", std::string{*reason},
                              fmt::format("shard={} status={}", shard.service.value(), reply.status)});
         return;
     }
--- a/tests/unit/routing/failed_answers.cpp
+++ b/tests/unit/routing/failed_answers.cpp
@@ -44,6 +44,28 @@
     }
 }
 
+// Guards against a success without a signature that the caller takes for one of the upstream: its line was
+// spoiled on the way, and so may be the rest of the answer.
+TEST_CASE("a success without a signature is not passed on") {
+    for (const auto* path : {"/once/1", "/one/1"}) {
+        for (int status : {200, 204, 299}) {
+            INFO(path << " " << status);
+            auto unsigned_success = failure_with(status);
+            unsigned_success.reply.signature.clear();
+            routing_fixture f;
+            routed_query query{f.state, f.setup(path), f.next_attempt};
+            auto out = query.start(at_ms(0));
+            for (std::int64_t ms = 5; !out.answer; ms += 5) {
+                REQUIRE(out.sends.size() == 1);
+                out = query.ended(out.sends[0].attempt, unsigned_success, at_ms(ms));
+            }
+            CHECK(out.answer->code == result_code::upstream_failed);
+            CHECK_FALSE(out.answer->reply);
+            CHECK(has_note(out, "answer_withheld", "unsigned_success"));
+        }
+    }
+}
+
 TEST_CASE("a request that may have run is not answered as not run after a last refusal") {
     routing_fixture f;
     routed_query query{f.state, f.setup("/one/1"), f.next_attempt};
