--- a/src/transport/upstream_codec.cpp
+++ b/src/transport/upstream_codec.cpp
@@ -1,4 +1,9 @@
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <array>
 #include <nlohmann/json.hpp>
+#include <string_view>
 
 #include "eelgrassledge/transport/upstream_client.hpp"
 
@@ -11,6 +16,8 @@
 /// Maximum number of hits in one answer; an answer with more is rejected.
 constexpr std::size_t MAX_HITS = 10'000;
 constexpr std::size_t MAX_HOLDINGS = 64;
+/// Part of an upstream's reason that is logged.
+constexpr std::size_t MAX_REASON_BYTES = 100;
 
 auto holdings_of(const json& from) -> std::vector<holding> {
     std::vector<holding> holdings;
@@ -37,15 +44,23 @@
     return hits;
 }
 
-auto refusal_code(int status, const std::string& reason) -> result_code {
-    if (status == 503 && reason == "draining") {
-        return result_code::upstream_leaving;
-    }
-    if (status == 503) {
-        return result_code::upstream_shedding;
-    }
-    if (status == 409) {
-        return result_code::wrong_snapshot;
+/// Answers with which an upstream states that it has not run the sub-request. Any other answer with one of
+/// these statuses is a failure, after which it may have run.
+struct refusal {
+    int status;
+    std::string_view reason;
+    result_code code;
+};
+constexpr std::array REFUSALS{refusal{503, "draining", result_code::upstream_leaving},
+                              refusal{503, "shedding", result_code::upstream_shedding},
+                              refusal{503, "overloaded while cold", result_code::upstream_shedding},
+                              refusal{409, "snapshot not held", result_code::wrong_snapshot}};
+
+auto code_of_failure(int status, std::string_view reason) -> result_code {
+    auto stated = std::ranges::find_if(
+        REFUSALS, [&](const refusal& known) { return known.status == status && known.reason == reason; });
+    if (stated != REFUSALS.end()) {
+        return stated->code;
     }
     if (status == 499) {
         return result_code::cancelled;
@@ -65,7 +80,12 @@
         return outcome;
     }
     if (status != 200) {
-        outcome.code = refusal_code(status, body.value("reason", std::string{}));
+        auto reason = body.value("reason", std::string{});
+        outcome.code = code_of_failure(status, reason);
+        if (outcome.code == result_code::bad_answer) {
+            outcome.reason = fmt::format("failed with status {}, reason \"{}\"", status,
+                                         reason.substr(0, MAX_REASON_BYTES));
+        }
         return outcome;
     }
     outcome.snapshot = snapshot_id{body.at("snapshot").get<std::uint64_t>()};
--- a/standins/searcher.cpp
+++ b/standins/searcher.cpp
@@ -230,7 +230,9 @@
         }
         auto item = found->second.item;
         running_.erase(found);
-        if (completed) {
+        if (completed && failure_status_ != 0) {
+            reply(item->request, sub_id, failure_status_, {{"reason", "failed"}});
+        } else if (completed) {
             completed_ += 1;
             answer(*item);
         } else {
@@ -315,6 +317,7 @@
         draining_ = body.value("drain", draining_);
         shedding_ = body.value("shed", shedding_);
         slow_factor_ = body.value("slow_factor", slow_factor_);
+        failure_status_ = body.value("fail_status", failure_status_);
         wrong_shard_ = body.value("wrong_shard", wrong_shard_);
         offset_sub_ids_ = body.value("cross_answers", offset_sub_ids_);
         make_existing_unresponsive_ = body.value("silence_connections", false);
@@ -353,6 +356,8 @@
     bool wrong_shard_ = false;
     bool offset_sub_ids_ = false;
     bool make_existing_unresponsive_ = false;
+    /// Status with which requests fail after they have run; zero if they do not fail.
+    int failure_status_ = 0;
     json status_override_;
     std::uint64_t arrivals_ = 0;
     std::uint64_t runs_ = 0;
--- a/tests/process/once.cpp
+++ b/tests/process/once.cpp
@@ -84,6 +84,22 @@
             CHECK(runs == 0);
         }
     }
+    SECTION("is not sent twice when a searcher that has run it fails with the status of a refusal") {
+        for (int status : {503, 409, 429, 408}) {
+            for (const auto& one : c.searchers) {
+                CHECK(c.control(one, {{"fail_status", status}}));
+            }
+            auto id = "fail-" + std::to_string(status);
+            CHECK(c.search(0, once(id)).body.value("state", "") == "outcome_unknown");
+            for (const auto& one : c.searchers) {
+                CHECK(c.control(one, {{"fail_status", 0}}));
+            }
+            CHECK(c.search(2, once(id)).body.value("code", 0) == 111);
+            for (const auto& [shard, runs] : runs_by_shard(c, id)) {
+                CHECK(runs <= 1);
+            }
+        }
+    }
     SECTION("is not sent twice when searchers are slow or unresponsive, or a daemon is killed") {
         for (std::size_t i = 0; i < c.searchers.size(); i += 2) {
             c.control(c.searchers[i], {{"slow_factor", 30}});
