State in a broker's refusal that an earlier send may have run (eelgrassledged)

What callers saw: an idempotent search that ended with deadline_passed had the state not_run although searchers may have run its sub-requests. not_run promises that no upstream has run or will run any part.

Cause: a broker sends an idempotent sub-request again after a preemption or on an unresponsive connection. When it then refused it (deadline passed in the queue, upstream leaving, ownership lost), the answer carried only the code of the refusal, which says "not run", and the entry concluded from the code.

Evidence: property "a broker keeps its limits" left every sub-request that was ever sent out of its check of "not run".

Change: the broker notes on the sub-request that an earlier send may have run and states it in its answer, in a new field of the messages between daemons (earlierSendMayHaveRun). The entry takes either for "may have run". The code stays that of the refusal, since the choice of another replica depends on it.

--- a/include/eelgrassledge/broker/sub_request.hpp
+++ b/include/eelgrassledge/broker/sub_request.hpp
@@ -46,6 +46,8 @@
     request_id request;
     std::string text;
     std::uint32_t limit = 10;  ///< Maximum number of hits.
+    /// Whether its broker has sent it before, and that send may have run. Not transmitted to the broker.
+    bool earlier_send_may_have_run = false;
 };
 
 /// One shard of a snapshot that an upstream holds, out of `shard_count` shards.
@@ -88,6 +90,8 @@
     std::vector<hit> hits;
     duration service_time{0};   ///< Running time of this sub-request; 0 if it was refused or timed out.
     std::uint32_t strikes = 0;  ///< Strikes of the fingerprint known to the broker.
+    /// Whether the broker had sent it before, and that send may have run although this code says "not run".
+    bool earlier_send_may_have_run = false;
     upstream_load load;
 };
 
--- a/include/eelgrassledge/core/result_code.hpp
+++ b/include/eelgrassledge/core/result_code.hpp
@@ -95,6 +95,11 @@
 /// unknown number received from a peer. Complexity: linear in the number of codes.
 [[nodiscard]] auto describe(result_code code) -> const result_code_info&;
 
+/// Whether an upstream may have started a request that ended with this code.
+[[nodiscard]] inline auto may_have_run(result_code code) -> bool {
+    return describe(code).state != run_state::not_run;
+}
+
 /// Converts a number received from a peer; numbers that are not in the table become `bad_answer`.
 [[nodiscard]] auto to_result_code(std::uint16_t number) -> result_code;
 
--- a/schema/peer.capnp
+++ b/schema/peer.capnp
@@ -60,6 +60,7 @@
   load @6 :Load;
   serviceTimeUs @7 :UInt32;
   strikes @8 :UInt32;
+  earlierSendMayHaveRun @9 :Bool;
 }
 
 struct Member {
--- a/src/broker/broker_suspects.cpp
+++ b/src/broker/broker_suspects.cpp
@@ -139,6 +139,7 @@
         out.push_back(make_answer(ended.request, result_code::upstream_timeout));
         return;
     }
+    ended.request.earlier_send_may_have_run = true;
     if (auto code = refusal_for(ended.request, now)) {
         out.push_back(make_answer(ended.request, *code));
         return;
--- a/src/broker/upstream_broker.cpp
+++ b/src/broker/upstream_broker.cpp
@@ -54,6 +54,7 @@
     answer.snapshot = request.snapshot;
     answer.shard = request.shard;
     answer.strikes = request.strikes;
+    answer.earlier_send_may_have_run = request.earlier_send_may_have_run;
     answer.load = load();
     return {std::move(answer)};
 }
@@ -167,6 +168,8 @@
         record_answer(ended, outcome, now, out);
     }
     if (ended.requeue && outcome.code != result_code::ok && ended.request.deadline > now) {
+        ended.request.earlier_send_may_have_run =
+            ended.request.earlier_send_may_have_run || may_have_run(outcome.code);
         if (auto code = refusal_for(ended.request, now)) {
             out.push_back(make_answer(ended.request, *code));
         } else {
--- a/src/entry/entry_attempts.cpp
+++ b/src/entry/entry_attempts.cpp
@@ -204,7 +204,7 @@
 auto entry_service::handle_failure(query& q, shard_index shard, const upstream_id& upstream,
                                    const sub_answer& answer, time_point now, entry_actions& out) -> void {
     auto& state = q.shards[shard.value()];
-    auto ran = may_have_run(answer.code);
+    auto ran = may_have_run(answer);
     state.may_have_run = state.may_have_run || ran;
     q.any_may_have_run = q.any_may_have_run || ran;
     state.last_code = answer.code;
--- a/src/entry/entry_limits.hpp
+++ b/src/entry/entry_limits.hpp
@@ -2,16 +2,16 @@
 
 #include <cstdint>
 
-#include "eelgrassledge/core/result_code.hpp"
+#include "eelgrassledge/broker/sub_request.hpp"
 
 namespace eelgrassledge {
 
 /// Tries for one shard when the caller prefers time to coverage, and for one canary in any case.
 constexpr std::uint32_t MAX_TRIES_PREFER_TIME = 4;
 
-/// Whether the upstream may have started a sub-request that ended with this code.
-inline auto may_have_run(result_code code) -> bool {
-    return describe(code).state != run_state::not_run;
+/// Whether an upstream may have started the sub-request that was answered.
+inline auto may_have_run(const sub_answer& answer) -> bool {
+    return may_have_run(answer.code) || answer.earlier_send_may_have_run;
 }
 
 }  // namespace eelgrassledge
--- a/src/entry/entry_suspects.cpp
+++ b/src/entry/entry_suspects.cpp
@@ -87,7 +87,7 @@
         q.settled = q.shards.size();
         return true;
     }
-    if (q.canary != shard || (!q.request.idempotent && may_have_run(answer.code))) {
+    if (q.canary != shard || (!q.request.idempotent && may_have_run(answer))) {
         return false;
     }
     if (send_shard(q, shard, false, now, out)) {
--- a/src/peer/wire_conversions.cpp
+++ b/src/peer/wire_conversions.cpp
@@ -242,6 +242,7 @@
     to.setShard(answer.shard.value());
     to.setServiceTimeUs(to_wire_us(answer.service_time));
     to.setStrikes(answer.strikes);
+    to.setEarlierSendMayHaveRun(answer.earlier_send_may_have_run);
     fill_list(
         answer.hits, [&](unsigned n) { return to.initHits(n); },
         [](const hit& found, auto& list, unsigned i) {
@@ -261,6 +262,7 @@
     to.answer.shard = shard_index{from.getShard()};
     to.answer.service_time = duration{from.getServiceTimeUs()};
     to.answer.strikes = from.getStrikes();
+    to.answer.earlier_send_may_have_run = from.getEarlierSendMayHaveRun();
     for (auto found : from.getHits()) {
         to.answer.hits.push_back({text_of(found.getRecord()), found.getScore(), text_of(found.getBody())});
     }
--- a/tests/property/broker_properties.cpp
+++ b/tests/property/broker_properties.cpp
@@ -53,14 +53,17 @@
                 auto id = answer->answer.key.id.value();
                 RC_ASSERT(submitted_requests.contains(id));
                 RC_ASSERT(answered.insert(id).second);
-                if (describe(answer->answer.code).state == run_state::not_run && !ever_sent.contains(id)) {
+                if (describe(answer->answer.code).state == run_state::not_run &&
+                    !answer->answer.earlier_send_may_have_run) {
                     RC_ASSERT(!running.contains(id));
+                    RC_ASSERT(!may_have_run_ids.contains(id));
                 }
             } else if (const auto* aborted = std::get_if<abort_action>(&action)) {
                 auto id = aborted->key.id.value();
                 RC_ASSERT(running.contains(id));
                 if (aborted->close_connection) {
                     running.erase(id);
+                    may_have_run_ids.insert(id);
                 }
             }
         }
@@ -89,6 +92,8 @@
     }
 
     std::set<std::uint64_t> ever_sent;
+    /// Sub-requests with a send that ended and may have run.
+    std::set<std::uint64_t> may_have_run_ids;
 };
 
 using command = rc::state::Command<model, broker_under_test>;
@@ -136,6 +141,9 @@
         outcome.code = code;
         outcome.start = code == result_code::upstream_failed ? start_id{} : start_id{sut.start};
         sut.completed += code == result_code::ok ? 1 : 0;
+        if (describe(code).state != run_state::not_run) {
+            sut.may_have_run_ids.insert(id);
+        }
         sut.check_actions(sut.broker.completed({link_id{1}, sub_request_id{id}}, outcome, sut.now));
     }
     auto show(std::ostream& out) const -> void override {
@@ -153,6 +161,7 @@
         for (const auto& [id, unused] : lost) {
             send_outcome outcome;
             outcome.code = result_code::upstream_failed;
+            sut.may_have_run_ids.insert(id);
             sut.check_actions(sut.broker.completed({link_id{1}, sub_request_id{id}}, outcome, sut.now));
         }
     }
--- a/tests/support/fake_broker.hpp
+++ b/tests/support/fake_broker.hpp
@@ -80,17 +80,23 @@
         return last;
     }
 
-    /// Code of the first answer to a sub-request; empty while there is none.
-    [[nodiscard]] auto code_of(std::uint64_t id) const -> std::optional<result_code> {
+    /// First answer to a sub-request; empty while there is none.
+    [[nodiscard]] auto answer_to(std::uint64_t id) const -> std::optional<sub_answer> {
         for (const auto& action : actions) {
             const auto* answer = std::get_if<answer_action>(&action);
             if (answer != nullptr && answer->answer.key.id.value() == id) {
-                return answer->answer.code;
+                return answer->answer;
             }
         }
         return std::nullopt;
     }
 
+    /// Code of the first answer to a sub-request; empty while there is none.
+    [[nodiscard]] auto code_of(std::uint64_t id) const -> std::optional<result_code> {
+        auto answer = answer_to(id);
+        return answer ? std::optional{answer->code} : std::nullopt;
+    }
+
     /// First action of a type. There must be one.
     template <class Action>
     [[nodiscard]] auto first() const -> Action {
--- a/tests/unit/entry_service.cpp
+++ b/tests/unit/entry_service.cpp
@@ -213,6 +213,31 @@
     }
 }
 
+// Guards against a query that is reported as not run although its upstreams may have run it before the broker
+// refused it.
+TEST_CASE("a query that its broker refuses after it had sent it") {
+    entry_fixture e;
+    auto request = e.request();
+    auto refuse_after_send = [&] {
+        e.submit(request);
+        for (const auto& sub : e.take_sent()) {
+            e.answer(sub, result_code::queue_expired,
+                     [](sub_answer& answer) { answer.earlier_send_may_have_run = true; });
+        }
+        REQUIRE(e.replies.size() == 1);
+    };
+    SECTION("is not reported as not run") {
+        refuse_after_send();
+        CHECK(e.replies[0].code == result_code::deadline_passed);
+        CHECK(e.replies[0].state != run_state::not_run);
+    }
+    SECTION("has an unknown outcome if it may run only once") {
+        request.idempotent = false;
+        refuse_after_send();
+        CHECK(e.replies[0].state == run_state::outcome_unknown);
+    }
+}
+
 TEST_CASE("a query is refused at submission when one of its shards cannot answer in time") {
     entry_fixture e;
     for (std::uint32_t r = 0; r < 2; ++r) {
